Add the design, the kernel and the interfaces

Cause: the repository is empty; parts can only be built side by side once the interfaces between them stand.

Before: nothing.

--- /dev/null
+++ b/cli/main.cc
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::fputs("skylarkhoist: no command given\n", stderr);
+  return 2;
+}
--- /dev/null
+++ b/decisions/config_view.h
@@ -0,0 +1,94 @@
+#ifndef DECISIONS_CONFIG_VIEW_H_
+#define DECISIONS_CONFIG_VIEW_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decisions/request_types.h"
+#include "kernel/time.h"
+
+namespace skylarkhoist {
+
+// The published configuration in typed form, as one consistent state of the
+// log's fold. A view is built once for each offset and never changes.
+
+// /customers/NAME, with /priorities/NAME folded in.
+struct customer_config {
+  std::string name;
+  bool enabled = true;
+  // Share in queues relative to other customers.
+  double weight = 1.0;
+};
+
+// /keys/ID
+struct key_config {
+  std::string id;
+  std::string customer;
+  // Lower-case hex.
+  std::string secret_sha256;
+  bool withdrawn = false;
+};
+
+// /rates/CUSTOMER. Both count over all nodes together.
+struct rate_config {
+  double per_second = 0;
+  double burst = 0;
+};
+
+enum class route_access { kOpen, kKeyed };
+
+// /routes/NAME
+struct route_config {
+  std::string name;
+  std::string path_prefix;
+  // Empty means all methods.
+  std::set<std::string> methods;
+  route_access access = route_access::kKeyed;
+  bool repeatable = false;
+  std::string service;
+  priority_class rank = priority_class::kNormal;
+};
+
+// /services/NAME, with /targets/NAME folded in.
+struct service_config {
+  std::string name;
+  // Calls that a target bears at the same time right after its start.
+  int cold_capacity = 4;
+  // Upper bound of the learned limit.
+  int max_limit = 1000;
+  // Longest wait in the queue of a target.
+  duration queue_bound = std::chrono::milliseconds(500);
+  // Longest run of one call at the target.
+  duration call_timeout = std::chrono::seconds(10);
+  // Services that a call to this one calls in turn.
+  std::vector<std::string> calls;
+  bool in_service = true;
+  // Addresses of targets that operators took out of service.
+  std::set<std::string> targets_out;
+};
+
+struct config_view {
+  // Log offset of this state; 0 means that no configuration was seen.
+  uint64_t offset = 0;
+  std::map<std::string, customer_config> customers;
+  std::map<std::string, key_config> keys;
+  std::map<std::string, rate_config> rates;
+  std::map<std::string, route_config> routes;
+  std::map<std::string, service_config> services;
+  // Zones that operators took out of service.
+  std::set<std::string> zones_out;
+
+  // Returns the route with the longest matching path prefix that allows
+  // `method`, or null. A prefix matches whole path segments; the query part of
+  // `path` is ignored.
+  const route_config* FindRoute(std::string_view method,
+                                std::string_view path) const;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // DECISIONS_CONFIG_VIEW_H_
--- /dev/null
+++ b/decisions/least_loaded_routing.cc
@@ -0,0 +1,26 @@
+#include "decisions/routing_policy.h"
+
+namespace skylarkhoist {
+namespace {
+
+// Compares two random candidates by open calls.
+class least_loaded_routing : public routing_policy {
+ public:
+  std::optional<size_t> Pick(const std::vector<route_candidate>& candidates,
+                             time_point /*now*/,
+                             random_source& random) override {
+    if (candidates.empty())
+      return std::nullopt;
+    const size_t first = random.Below(candidates.size());
+    const size_t second = random.Below(candidates.size());
+    return candidates[second].open_calls < candidates[first].open_calls ? second
+                                                                        : first;
+  }
+};
+
+const routing_registry::entry kLeastLoaded("least_loaded", [] {
+  return std::make_unique<least_loaded_routing>();
+});
+
+}  // namespace
+}  // namespace skylarkhoist
--- /dev/null
+++ b/decisions/routing_policy.h
@@ -0,0 +1,50 @@
+#ifndef DECISIONS_ROUTING_POLICY_H_
+#define DECISIONS_ROUTING_POLICY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kernel/random.h"
+#include "kernel/registry.h"
+#include "kernel/time.h"
+
+namespace skylarkhoist {
+
+// A target that may get a call, as the entry node sees it.
+struct route_candidate {
+  // Peer address of the node beside the target.
+  std::string node_address;
+  uint64_t node_incarnation = 0;
+  bool same_zone = false;
+  // Calls that this node has open there.
+  int open_calls = 0;
+  // Last load that the executing node reported, and when. 1000 means full.
+  uint32_t load_permille = 0;
+  time_point load_at;
+  // Concurrency limit that the executing node reported; 0 when unknown.
+  uint32_t limit = 0;
+  // When this node first saw the target in its present incarnation.
+  time_point seen_since;
+};
+
+// Chooses one target among candidates. Plug-ins register under a name that
+// settings choose.
+class routing_policy {
+ public:
+  virtual ~routing_policy() = default;
+
+  // Returns the index of the chosen candidate, or nothing when the call should
+  // be refused because none has room.
+  virtual std::optional<size_t> Pick(
+      const std::vector<route_candidate>& candidates,
+      time_point now,
+      random_source& random) = 0;
+};
+
+using routing_registry = registry<routing_policy>;
+
+}  // namespace skylarkhoist
+
+#endif  // DECISIONS_ROUTING_POLICY_H_
--- /dev/null
+++ b/kernel/event_loop.h
@@ -0,0 +1,47 @@
+#ifndef KERNEL_EVENT_LOOP_H_
+#define KERNEL_EVENT_LOOP_H_
+
+#include <memory>
+#include <unordered_map>
+
+#include "kernel/loop.h"
+
+struct event_base;
+struct event;
+
+namespace skylarkhoist {
+
+// A loop on libevent. Servers and clients of this process share its `base()`.
+class event_loop : public loop {
+ public:
+  event_loop();
+  ~event_loop() override;
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  time_point Now() const override;
+  timer_id RunAfter(duration delay, std::function<void()> callback) override;
+  void Cancel(timer_id id) override;
+
+  // Runs until Stop is called.
+  void Run();
+  void Stop();
+
+  // Calls `callback` on the loop when the process gets `signal_number`.
+  void OnSignal(int signal_number, std::function<void()> callback);
+
+  event_base* base() { return base_; }
+
+ private:
+  struct timer;
+  struct signal_watch;
+
+  event_base* base_;
+  timer_id next_id_ = 1;
+  std::unordered_map<timer_id, std::unique_ptr<timer>> timers_;
+  std::unordered_map<int, std::unique_ptr<signal_watch>> signals_;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // KERNEL_EVENT_LOOP_H_
--- /dev/null
+++ b/kernel/http.cc
@@ -0,0 +1,27 @@
+#include "kernel/http.h"
+
+#include <strings.h>
+
+#include <algorithm>
+
+namespace skylarkhoist {
+
+const std::string* http_headers::Find(std::string_view name) const {
+  for (const auto& [item_name, value] : items_) {
+    if (item_name.size() == name.size() &&
+        strncasecmp(item_name.data(), name.data(), name.size()) == 0)
+      return &value;
+  }
+  return nullptr;
+}
+
+void http_headers::RemovePrefix(std::string_view prefix) {
+  const auto matches = [prefix](const auto& item) {
+    return item.first.size() >= prefix.size() &&
+           strncasecmp(item.first.data(), prefix.data(), prefix.size()) == 0;
+  };
+  items_.erase(std::remove_if(items_.begin(), items_.end(), matches),
+               items_.end());
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/kernel/http.h
@@ -0,0 +1,48 @@
+#ifndef KERNEL_HTTP_H_
+#define KERNEL_HTTP_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace skylarkhoist {
+
+// Header fields in order of arrival. Names compare without regard to case.
+class http_headers {
+ public:
+  void Add(std::string name, std::string value) {
+    items_.emplace_back(std::move(name), std::move(value));
+  }
+
+  // Returns the first value of `name`, or null.
+  const std::string* Find(std::string_view name) const;
+
+  // Removes all fields whose name begins with `prefix`.
+  void RemovePrefix(std::string_view prefix);
+
+  const std::vector<std::pair<std::string, std::string>>& items() const {
+    return items_;
+  }
+
+ private:
+  std::vector<std::pair<std::string, std::string>> items_;
+};
+
+struct http_request {
+  std::string method;
+  // Path with query, as sent.
+  std::string path;
+  http_headers headers;
+  std::string body;
+};
+
+struct http_response {
+  int status = 0;
+  http_headers headers;
+  std::string body;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // KERNEL_HTTP_H_
--- /dev/null
+++ b/kernel/json.cc
@@ -0,0 +1,65 @@
+#include "kernel/json.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace skylarkhoist {
+namespace {
+
+constexpr int kMaxDepth = 64;
+
+std::string PathOf(const std::vector<std::string>& names) {
+  std::string path;
+  for (const std::string& name : names)
+    path += "/" + name;
+  return path.empty() ? "/" : path;
+}
+
+}  // namespace
+
+tl::expected<json, findings> ParseJson(std::string_view text) {
+  findings problems;
+  std::vector<std::set<std::string>> seen;  // Names of each open object.
+  std::vector<std::string> path;
+  bool too_deep = false;
+  const json::parser_callback_t check =
+      [&](int depth, json::parse_event_t event, json& value) {
+        if (depth > kMaxDepth)
+          too_deep = true;
+        switch (event) {
+          case json::parse_event_t::object_start:
+            seen.emplace_back();
+            path.emplace_back();
+            break;
+          case json::parse_event_t::object_end:
+            seen.pop_back();
+            path.pop_back();
+            break;
+          case json::parse_event_t::key: {
+            const auto name = value.get<std::string>();
+            path.back() = name;
+            if (!seen.back().insert(name).second)
+              problems.Add(PathOf(path), "duplicate name");
+            break;
+          }
+          default:
+            break;
+        }
+        return depth <= kMaxDepth;
+      };
+  json result;
+  try {
+    result = json::parse(text, check);
+  } catch (const json::parse_error& error) {
+    problems.Add("/", std::string("not valid JSON at byte ") +
+                          std::to_string(error.byte));
+  }
+  if (too_deep)
+    problems.Add("/", "nested deeper than 64 levels");
+  if (!problems.empty())
+    return tl::unexpected(problems);
+  return result;
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/kernel/json_test.cc
@@ -0,0 +1,36 @@
+#include "kernel/json.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+namespace skylarkhoist {
+namespace {
+
+TEST_GROUP(json){};
+
+// Guards against settings in which one of two values for a name is silently
+// dropped.
+TEST(json, ReportsDuplicateNamesWithTheirPath) {
+  const auto result = ParseJson(R"({"a":{"b":1,"b":2},"a":3})");
+  CHECK_FALSE(result.has_value());
+  CHECK_EQUAL(2, result.error().items().size());
+  STRCMP_EQUAL("/a/b", result.error().items()[0].place.c_str());
+  STRCMP_EQUAL("/a", result.error().items()[1].place.c_str());
+}
+
+// Guards against stack exhaustion by hostile nesting.
+TEST(json, RefusesDeepNesting) {
+  CHECK_FALSE(
+      ParseJson(std::string(100, '[') + std::string(100, ']')).has_value());
+  CHECK_TRUE(
+      ParseJson(std::string(10, '[') + std::string(10, ']')).has_value());
+}
+
+TEST(json, ReportsMalformedInput) {
+  for (const char* text : {"", "{", "{\"a\":}", "nul", "[1,]", "\xff"})
+    CHECK_FALSE(ParseJson(text).has_value());
+}
+
+}  // namespace
+}  // namespace skylarkhoist
--- /dev/null
+++ b/kernel/registry.h
@@ -0,0 +1,58 @@
+#ifndef KERNEL_REGISTRY_H_
+#define KERNEL_REGISTRY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace skylarkhoist {
+
+// Plug-ins of one interface by name. A plug-in registers itself from a static
+// object in its own source file, and settings choose it by name:
+//
+//   const registry<concurrency_limit, const limit_options&>::entry kGradient(
+//       "gradient", [](const limit_options& options) {
+//         return std::make_unique<gradient_limit>(options);
+//       });
+//
+// Registration happens before main and lookups after it, all on one thread.
+template <typename interface, typename... arguments>
+class registry {
+ public:
+  using factory = std::function<std::unique_ptr<interface>(arguments...)>;
+
+  struct entry {
+    entry(std::string name, factory create) {
+      Factories().emplace(std::move(name), std::move(create));
+    }
+  };
+
+  // Returns null when no plug-in has this name.
+  static std::unique_ptr<interface> Create(const std::string& name,
+                                           arguments... values) {
+    const auto found = Factories().find(name);
+    if (found == Factories().end())
+      return nullptr;
+    return found->second(std::forward<arguments>(values)...);
+  }
+
+  static std::vector<std::string> Names() {
+    std::vector<std::string> names;
+    for (const auto& [name, create] : Factories())
+      names.push_back(name);
+    return names;
+  }
+
+ private:
+  static std::map<std::string, factory>& Factories() {
+    static std::map<std::string, factory> factories;
+    return factories;
+  }
+};
+
+}  // namespace skylarkhoist
+
+#endif  // KERNEL_REGISTRY_H_
--- /dev/null
+++ b/testing/manual_loop.h
@@ -0,0 +1,39 @@
+#ifndef TESTING_MANUAL_LOOP_H_
+#define TESTING_MANUAL_LOOP_H_
+
+#include <map>
+#include <utility>
+
+#include "kernel/loop.h"
+
+namespace skylarkhoist {
+
+// A loop whose clock stands still until a test advances it. Timers that are due
+// at the same time run in the order in which they were set.
+class manual_loop : public loop {
+ public:
+  time_point Now() const override { return now_; }
+  timer_id RunAfter(duration delay, std::function<void()> callback) override;
+  void Cancel(timer_id id) override;
+
+  // Moves the clock forward by `step` and runs each timer that falls due, at
+  // its own time.
+  void Advance(duration step);
+
+  // Runs the next timer, moving the clock to its time. Returns false when none
+  // is pending or the next one is later than `limit`.
+  bool RunNext(time_point limit = time_point::max());
+
+ private:
+  using timer_key = std::pair<time_point, timer_id>;
+
+  // Starts above zero, so that subtracting a few seconds stays in range.
+  time_point now_{std::chrono::hours(1)};
+  timer_id next_id_ = 1;
+  std::map<timer_key, std::function<void()>> timers_;
+  std::map<timer_id, time_point> due_;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // TESTING_MANUAL_LOOP_H_
