--- /dev/null
+++ b/testing/measure_main.cc
@@ -0,0 +1,21 @@
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <string>
+
+#include "testing/measurement.h"
+
+int main(int argc, char** argv) {
+  CLI::App app("Runs a measurement and prints one JSON line per result");
+  std::string name;
+  skylarkhoist::measurement_options options;
+  app.add_option("name", name, "Measurement to run")
+      ->required()
+      ->check(CLI::IsMember(skylarkhoist::measurement_registry::Names()));
+  app.add_option("--seed", options.seed, "Seed of the run");
+  app.add_option("--scale", options.scale, "Share of the full length");
+  CLI11_PARSE(app, argc, argv);
+  const auto chosen = skylarkhoist::measurement_registry::Create(name);
+  for (const skylarkhoist::json& line : chosen->Run(options))
+    std::puts(line.dump().c_str());
+  return 0;
+}
