--- /dev/null
+++ b/node/config_follower.cc
@@ -0,0 +1,710 @@
+#include "node/config_follower.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace skylarkhoist {
+namespace {
+
+constexpr int kReadBatch = 500;
+
+// Bounds of the records kept for peers, and of one message to them. Both stay
+// far below the 8 MB limit of a frame.
+constexpr size_t kRecentRecords = 2'000;
+constexpr size_t kRecentBytes = size_t{2} << 20;
+constexpr size_t kNewsBytes = size_t{256} << 10;
+
+// Pause between two requests to peers.
+constexpr auto kAskInterval = std::chrono::milliseconds(300);
+
+// Pause between two snapshots of one node, for a log that keeps refusing them.
+constexpr auto kSnapshotRetry = std::chrono::minutes(1);
+
+int64_t SystemUnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+uint64_t RankOf(const std::string& address) {
+  return XXH64(address.data(), address.size(), 0);
+}
+
+std::string RandomId(random_source* random) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string id;
+  for (int word = 0; word < 2; ++word) {
+    uint64_t bits = random->Next();
+    for (int i = 0; i < 16; ++i, bits >>= 4)
+      id += kDigits[bits & 15];
+  }
+  return id;
+}
+
+}  // namespace
+
+struct config_follower::pending_append {
+  std::string data;
+  record_kind kind = record_kind::kChange;
+  std::string path;
+  append_callback done;
+  time_point give_up_at;
+  duration pause;
+  // Offset that the log returned, 0 while it has not.
+  uint64_t offset = 0;
+  bool reached_log = false;
+};
+
+struct config_follower::counters {
+  explicit counters(metrics* metrics)
+      : view_findings(
+            metrics->Gauge("skylark_config_findings",
+                           "Findings of the published configuration")),
+        offset(metrics->Gauge("skylark_config_offset",
+                              "Log offset of the configuration in force")),
+        snapshots(metrics->Counter("skylark_config_snapshots_total",
+                                   "Snapshots appended by this node")),
+        states(metrics->Counter("skylark_config_peer_states_total",
+                                "Whole states taken over from peers")),
+        bad_states(metrics->Counter("skylark_config_bad_states_total",
+                                    "States of peers that cannot be read")),
+        log_behind(metrics->Counter(
+            "skylark_config_log_behind_total",
+            "Reads that found the log shorter than the state of this node")) {
+    for (const auto outcome :
+         {apply_outcome::kApplied, apply_outcome::kNoEffect,
+          apply_outcome::kVoid, apply_outcome::kDuplicate, apply_outcome::kOld,
+          apply_outcome::kGap, apply_outcome::kMalformed,
+          apply_outcome::kNewerFormat, apply_outcome::kUnknownKind}) {
+      const std::string name(NameOf(outcome));
+      records[outcome] =
+          &metrics->Counter("skylark_config_records_total",
+                            "Records of the log by their effect on the state",
+                            {{"outcome", name}});
+    }
+    for (const char* result :
+         {"ok", "unreachable", "timeout", "trimmed", "refused"}) {
+      reads[result] = &metrics->Counter("skylark_config_log_reads_total",
+                                        "Reads of the log by their result",
+                                        {{"result", result}});
+      appends[result] = &metrics->Counter("skylark_config_log_appends_total",
+                                          "Appends to the log by their result",
+                                          {{"result", result}});
+    }
+  }
+
+  static const char* NameOf(log_error_kind kind) {
+    switch (kind) {
+      case log_error_kind::kUnreachable:
+        return "unreachable";
+      case log_error_kind::kTimeout:
+        return "timeout";
+      case log_error_kind::kTrimmed:
+        return "trimmed";
+      case log_error_kind::kRefused:
+        return "refused";
+    }
+    return "refused";
+  }
+  static std::string_view NameOf(apply_outcome outcome) {
+    return skylarkhoist::NameOf(outcome);
+  }
+
+  prometheus::Gauge& view_findings;
+  prometheus::Gauge& offset;
+  prometheus::Counter& snapshots;
+  prometheus::Counter& states;
+  prometheus::Counter& bad_states;
+  prometheus::Counter& log_behind;
+  std::map<apply_outcome, prometheus::Counter*> records;
+  std::map<std::string, prometheus::Counter*> reads;
+  std::map<std::string, prometheus::Counter*> appends;
+};
+
+config_follower::config_follower(
+    loop* loop,
+    log_client* log,
+    peer_transport* peers,
+    random_source* random,
+    config_follower_options options,
+    std::function<std::vector<std::string>()> live_peers,
+    metrics* metrics)
+    : loop_(loop),
+      log_(log),
+      peers_(peers),
+      random_(random),
+      options_(std::move(options)),
+      live_peers_(std::move(live_peers)),
+      counters_(std::make_unique<counters>(metrics)),
+      view_(std::make_shared<const config_view>(options_.bootstrap)),
+      heard_at_(loop->Now()),
+      keepalive_at_(loop->Now()),
+      asked_at_(loop->Now() - kAskInterval),
+      snapshot_tried_at_(loop->Now() - kSnapshotRetry),
+      snapshot_seen_at_(loop->Now()) {
+  if (!options_.unix_ms)
+    options_.unix_ms = SystemUnixMs;
+}
+
+config_follower::~config_follower() = default;
+
+void config_follower::Start() {
+  if (started_)
+    return;
+  started_ = true;
+  silence_bound_ = options_.silent_after + Jitter(options_.silent_after / 2);
+  AskForState();
+  ReadLog();
+  ScheduleTick(Jitter(options_.poll_interval));
+}
+
+duration config_follower::log_age(time_point now) const {
+  return read_at_ ? now - *read_at_ : duration::max();
+}
+
+void config_follower::OnChange(std::function<void()> callback) {
+  on_change_.push_back(std::move(callback));
+}
+
+void config_follower::ScheduleTick(duration delay) {
+  RunLater(delay, [this] { Tick(); });
+}
+
+void config_follower::Tick() {
+  ScheduleTick(options_.poll_interval);
+  if (!ready_)
+    AskForState();
+  if (!reading_ && IsReader())
+    ReadLog();
+  ConsiderSnapshot();
+}
+
+bool config_follower::IsReader() const {
+  return !ready_ || !appends_.empty() || IsElectedReader() ||
+         loop_->Now() - heard_at_ > silence_bound_;
+}
+
+bool config_follower::IsElectedReader() const {
+  const std::vector<std::string> live = live_peers_();
+  if (live.size() + 1 <= options_.all_read_up_to)
+    return true;
+  const std::set<std::string> alive(live.begin(), live.end());
+  const uint64_t own_rank = RankOf(options_.peer_address);
+  size_t better = 0;
+  for (const roster_member& member : fold_.roster().members) {
+    if (member.zone == options_.zone && alive.count(member.peer_address) != 0 &&
+        RankOf(member.peer_address) > own_rank)
+      ++better;
+  }
+  return better < options_.readers_per_zone;
+}
+
+// All live nodes in an order that nodes with the same view of the fleet agree
+// on. The node at index i forwards to those from i * fan_out + 1 on.
+std::vector<std::string> config_follower::TreeOrder() const {
+  std::vector<std::string> order = live_peers_();
+  order.push_back(options_.peer_address);
+  std::sort(order.begin(), order.end(),
+            [](const std::string& a, const std::string& b) {
+              const uint64_t rank_a = RankOf(a);
+              const uint64_t rank_b = RankOf(b);
+              return rank_a != rank_b ? rank_a < rank_b : a < b;
+            });
+  order.erase(std::unique(order.begin(), order.end()), order.end());
+  return order;
+}
+
+void config_follower::ReadLog() {
+  if (reading_) {
+    read_again_ = true;
+    return;
+  }
+  reading_ = true;
+  read_again_ = false;
+  const time_point sent_at = loop_->Now();
+  const uint64_t from = scan_ ? scan_->next : fold_.offset() + 1;
+  log_->Read(
+      from, kReadBatch,
+      [this, sent_at, alive = std::weak_ptr<bool>(alive_)](
+          const tl::expected<log_batch, log_error>& result) {
+        if (alive.expired())
+          return;
+        reading_ = false;
+        if (result) {
+          counters_->reads["ok"]->Increment();
+          read_at_ = sent_at;
+          heard_at_ = loop_->Now();
+          OnBatch(*result);
+        } else {
+          counters_->reads[counters::NameOf(result.error().kind)]->Increment();
+          OnReadError(result.error());
+        }
+        if (read_again_)
+          ReadLog();
+      });
+}
+
+void config_follower::OnBatch(const log_batch& batch) {
+  if (scan_) {
+    for (const log_entry& entry : batch.entries) {
+      scan_->next = entry.offset + 1;
+      const auto record = ParseRecord(entry.data);
+      if (!record || record->kind != record_kind::kSnapshot)
+        continue;
+      auto state = config_fold::FromJson(record->state);
+      if (state && state->offset() + 1 >= scan_->first &&
+          (!scan_->best || state->offset() > scan_->best->offset()))
+        scan_->best = std::move(*state);
+    }
+    if (batch.entries.empty())
+      FinishScan();
+    else
+      read_again_ = true;
+    return;
+  }
+  if (batch.end_offset <= fold_.offset())
+    counters_->log_behind.Increment();
+  const uint64_t before = fold_.offset();
+  bool roster_changed = false;
+  for (const log_entry& entry : batch.entries)
+    roster_changed = ApplyRecord(entry.offset, entry.data) || roster_changed;
+  const bool moved = fold_.offset() != before;
+  const bool at_end = fold_.offset() + 1 >= batch.end_offset;
+  if (!at_end && moved)
+    read_again_ = true;
+  const bool became_ready = at_end && !ready_;
+  ready_ = ready_ || at_end;
+  Publish(moved || became_ready, roster_changed);
+  if (moved)
+    PushNews(before + 1, true);
+  else if (IsElectedReader())
+    PushNews(fold_.offset() + 1, true);
+}
+
+void config_follower::OnReadError(const log_error& error) {
+  if (error.kind != log_error_kind::kTrimmed) {
+    scan_.reset();
+    return;
+  }
+  if (error.first_offset <= fold_.offset() + 1 && !scan_)
+    return;
+  // Records that this state lacks are gone from the log.
+  if (!scan_) {
+    LogWarning("config_follower", "behind_trim_point",
+               {{"offset", std::to_string(fold_.offset())},
+                {"first", std::to_string(error.first_offset)}});
+  }
+  scan_ = scan{error.first_offset, error.first_offset, std::nullopt};
+  read_again_ = true;
+  AskForState();
+}
+
+void config_follower::FinishScan() {
+  std::optional<config_fold> best = std::move(scan_->best);
+  scan_.reset();
+  if (!best) {
+    // Only a peer can help; the next read finds the log trimmed again.
+    AskForState();
+    return;
+  }
+  TakeState(std::move(*best));
+  read_again_ = true;
+}
+
+// Returns true when the record changed the roster.
+bool config_follower::ApplyRecord(uint64_t offset, const std::string& data) {
+  const apply_result result = fold_.Apply(offset, data);
+  counters_->records[result.outcome]->Increment();
+  if (result.outcome == apply_outcome::kOld ||
+      result.outcome == apply_outcome::kGap)
+    return false;
+  recent_.push_back(data);
+  recent_bytes_ += data.size();
+  while (recent_.size() > kRecentRecords || recent_bytes_ > kRecentBytes) {
+    recent_bytes_ -= recent_.front().size();
+    recent_.pop_front();
+  }
+  if (fold_.last_snapshot() == offset)
+    snapshot_seen_at_ = loop_->Now();
+  const auto pending = appends_.find(result.record_id);
+  if (pending != appends_.end()) {
+    // Resolved at once, since a later record may change the entry in force.
+    append_result verdict;
+    verdict.offset = offset;
+    verdict.reached_log = true;
+    verdict.state = result.outcome == apply_outcome::kVoid
+                        ? append_state::kVoid
+                        : append_state::kAccepted;
+    const record_verdict* seen = fold_.FindRecord(result.record_id);
+    if (result.outcome == apply_outcome::kDuplicate && seen != nullptr &&
+        seen->is_void)
+      verdict.state = append_state::kVoid;
+    const auto entry = fold_.entries().find(pending->second.path);
+    if (verdict.state == append_state::kVoid && entry != fold_.entries().end())
+      verdict.in_force = entry->second;
+    Resolve(result.record_id, verdict);
+  }
+  return result.roster_changed;
+}
+
+void config_follower::TakeState(config_fold state) {
+  const uint64_t roster_before = fold_.roster().version;
+  if (!fold_.Advance(std::move(state)))
+    return;
+  recent_.clear();
+  recent_bytes_ = 0;
+  snapshot_seen_at_ = loop_->Now();
+  ready_ = true;
+  if (scan_)
+    scan_.reset();
+  Publish(true, fold_.roster().version != roster_before);
+}
+
+void config_follower::Publish(bool changed, bool roster_changed) {
+  if (!changed && !roster_changed)
+    return;
+  // A state that is still behind the log by an unknown amount is not served.
+  if (ready_) {
+    tolerant_config built = builder_.Build(fold_);
+    if (built.problems.items() != problems_.items() &&
+        !built.problems.empty()) {
+      const finding& first = built.problems.items().front();
+      LogWarning("config_follower", "published_state_has_findings",
+                 {{"count", std::to_string(built.problems.items().size())},
+                  {"first", first.place + ": " + first.message}});
+    }
+    problems_ = std::move(built.problems);
+    view_ = std::make_shared<const config_view>(std::move(built.view));
+    counters_->view_findings.Set(static_cast<double>(problems_.items().size()));
+  }
+  counters_->offset.Set(static_cast<double>(fold_.offset()));
+  ResolveAppends();
+  const std::vector<std::function<void()>> callbacks = on_change_;
+  for (const auto& callback : callbacks)
+    callback();
+}
+
+// Sends the records from `from_offset` on, or only the offset when there are
+// none, to the children of this node in the tree, and to its root when this
+// node injects what it read from the log.
+void config_follower::PushNews(uint64_t from_offset, bool inject) {
+  const bool keepalive = from_offset > fold_.offset();
+  const time_point now = loop_->Now();
+  if (keepalive && now - keepalive_at_ < options_.keepalive_interval)
+    return;
+  const std::vector<std::string> order = TreeOrder();
+  // In a small fleet each node reads for itself.
+  if (order.size() <= options_.all_read_up_to)
+    return;
+  keepalive_at_ = now;
+  const auto own = std::find(order.begin(), order.end(), options_.peer_address);
+  const size_t index = static_cast<size_t>(own - order.begin());
+  if (inject && index != 0)
+    SendNews(order.front(), from_offset);
+  for (size_t i = 1; i <= options_.fan_out; ++i) {
+    const size_t child = index * options_.fan_out + i;
+    if (child < order.size())
+      SendNews(order[child], from_offset);
+  }
+}
+
+void config_follower::SendNews(const std::string& address,
+                               uint64_t from_offset) {
+  fbs::config_newsT news;
+  news.applied_offset = fold_.offset();
+  const uint64_t first = fold_.offset() + 1 - recent_.size();
+  size_t bytes = 0;
+  for (uint64_t offset = std::max(from_offset, first);
+       offset <= fold_.offset() && bytes < kNewsBytes; ++offset) {
+    auto record = std::make_unique<fbs::log_recordT>();
+    record->offset = offset;
+    record->data = recent_[offset - first];
+    bytes += record->data.size();
+    news.records.push_back(std::move(record));
+  }
+  peers_->Send(address, Envelope(std::move(news)));
+}
+
+void config_follower::HandleNews(const std::string& from,
+                                 const fbs::config_newsT& news) {
+  const uint64_t before = fold_.offset();
+  bool roster_changed = false;
+  for (const auto& record : news.records) {
+    if (record != nullptr)
+      roster_changed =
+          ApplyRecord(record->offset, record->data) || roster_changed;
+  }
+  const bool moved = fold_.offset() != before;
+  if (news.applied_offset >= fold_.offset())
+    heard_at_ = loop_->Now();
+  if (moved) {
+    // A node that never read the log has a whole state once it reaches that of
+    // the sender.
+    ready_ = ready_ || fold_.offset() >= news.applied_offset;
+    Publish(true, roster_changed);
+    PushNews(before + 1, false);
+  } else if (news.records.empty() && news.applied_offset == fold_.offset()) {
+    PushNews(fold_.offset() + 1, false);
+  }
+  if (news.applied_offset > fold_.offset()) {
+    // Progress means that the sender answers in parts: ask for the next at
+    // once.
+    if (moved)
+      asked_at_ = loop_->Now() - kAskInterval;
+    Ask(from);
+  }
+}
+
+void config_follower::HandleRequest(const std::string& from,
+                                    const fbs::config_requestT& request) {
+  const uint64_t first_kept = fold_.offset() + 1 - recent_.size();
+  if (request.from_offset > fold_.offset() ||
+      request.from_offset >= first_kept) {
+    SendNews(from, request.from_offset);
+    return;
+  }
+  if (!ready_)
+    return;
+  fbs::config_stateT state;
+  state.offset = fold_.offset();
+  state.state =
+      fold_.ToJson().dump(-1, ' ', false, json::error_handler_t::replace);
+  peers_->Send(from, Envelope(std::move(state)));
+}
+
+void config_follower::HandleState(const std::string& from,
+                                  const fbs::config_stateT& state) {
+  if (state.offset <= fold_.offset())
+    return;
+  const auto parsed = ParseJson(state.state);
+  auto fold =
+      parsed
+          ? config_fold::FromJson(*parsed)
+          : tl::expected<config_fold, findings>(tl::unexpected(parsed.error()));
+  if (!fold) {
+    counters_->bad_states.Increment();
+    LogWarning("config_follower", "peer_state_unreadable",
+               {{"peer", from}, {"cause", fold.error().ToText()}});
+    return;
+  }
+  counters_->states.Increment();
+  heard_at_ = loop_->Now();
+  TakeState(std::move(*fold));
+}
+
+void config_follower::NotePeerOffset(const std::string& address,
+                                     uint64_t offset) {
+  if (offset > fold_.offset())
+    Ask(address);
+}
+
+void config_follower::AskForState() {
+  std::vector<std::string> candidates = live_peers_();
+  candidates.insert(candidates.end(), options_.seed_peers.begin(),
+                    options_.seed_peers.end());
+  candidates.erase(
+      std::remove(candidates.begin(), candidates.end(), options_.peer_address),
+      candidates.end());
+  if (!candidates.empty())
+    Ask(candidates[random_->Below(candidates.size())]);
+}
+
+void config_follower::Ask(const std::string& address) {
+  const time_point now = loop_->Now();
+  if (now - asked_at_ < kAskInterval)
+    return;
+  asked_at_ = now;
+  fbs::config_requestT request;
+  request.from_offset = fold_.offset() + 1;
+  peers_->Send(address, Envelope(request));
+}
+
+config_record config_follower::NewRecord(record_kind kind) {
+  config_record record;
+  record.kind = kind;
+  record.id = RandomId(random_);
+  record.unix_ms = options_.unix_ms();
+  record.author = options_.author;
+  return record;
+}
+
+void config_follower::AppendChange(const std::string& path,
+                                   uint64_t base_version,
+                                   std::optional<json> value,
+                                   const std::string& author,
+                                   append_callback done) {
+  config_record record = NewRecord(record_kind::kChange);
+  record.path = path;
+  record.base_version = base_version;
+  record.value = std::move(value);
+  record.author = author;
+  StartAppend(record, std::move(done));
+}
+
+void config_follower::AppendJoin(const roster_member& member,
+                                 append_callback done) {
+  config_record record = NewRecord(record_kind::kJoin);
+  record.member = member;
+  StartAppend(record, std::move(done));
+}
+
+void config_follower::AppendLeave(uint64_t incarnation, append_callback done) {
+  config_record record = NewRecord(record_kind::kLeave);
+  record.member.incarnation = incarnation;
+  StartAppend(record, std::move(done));
+}
+
+void config_follower::AppendEvict(uint64_t incarnation, append_callback done) {
+  config_record record = NewRecord(record_kind::kEvict);
+  record.member.incarnation = incarnation;
+  StartAppend(record, std::move(done));
+}
+
+void config_follower::StartAppend(const config_record& record,
+                                  append_callback done) {
+  pending_append append;
+  append.data = RecordToText(record);
+  append.kind = record.kind;
+  append.path = record.path;
+  append.done = std::move(done);
+  append.give_up_at = loop_->Now() + options_.append_give_up;
+  append.pause = options_.append_retry_min;
+  // A record that no fold can read would never come back from the log.
+  if (!ParseRecord(append.data)) {
+    append_result result;
+    result.state = append_state::kVoid;
+    result.problem = IsConfigPath(record.path) || record.path.empty()
+                         ? "the record is malformed"
+                         : "the path must have the form /SUBTREE/NAME";
+    RunLater(duration::zero(), [callback = append.done, result] {
+      if (callback)
+        callback(result);
+    });
+    return;
+  }
+  const std::string id = record.id;
+  appends_.emplace(id, std::move(append));
+  TryAppend(id);
+}
+
+void config_follower::TryAppend(const std::string& id) {
+  const auto found = appends_.find(id);
+  if (found == appends_.end() || found->second.offset != 0)
+    return;
+  log_->Append(
+      found->second.data, [this, id, alive = std::weak_ptr<bool>(alive_)](
+                              const tl::expected<uint64_t, log_error>& result) {
+        if (alive.expired())
+          return;
+        counters_
+            ->appends[result ? "ok" : counters::NameOf(result.error().kind)]
+            ->Increment();
+        const auto pending = appends_.find(id);
+        if (pending == appends_.end())
+          return;
+        if (result) {
+          pending->second.offset = *result;
+          pending->second.reached_log = true;
+          ResolveAppends();
+          ReadLog();
+          return;
+        }
+        if (result.error().kind == log_error_kind::kTimeout)
+          pending->second.reached_log = true;
+        RetryAppend(id);
+      });
+}
+
+void config_follower::RetryAppend(const std::string& id) {
+  pending_append& append = appends_.at(id);
+  const duration pause = append.pause / 2 + Jitter(append.pause);
+  append.pause = std::min(append.pause * 2, options_.append_retry_max);
+  RunLater(pause, [this, id] { TryAppend(id); });
+}
+
+// Reports the appends whose time is over, and those whose record became part of
+// the state without being read here, by a state of a peer.
+void config_follower::ResolveAppends() {
+  std::vector<std::pair<std::string, append_result>> finished;
+  for (const auto& [id, append] : appends_) {
+    append_result result;
+    result.offset = append.offset;
+    result.reached_log = append.reached_log;
+    if (const record_verdict* verdict = fold_.FindRecord(id)) {
+      result.offset = verdict->offset;
+      result.reached_log = true;
+      result.state =
+          verdict->is_void ? append_state::kVoid : append_state::kAccepted;
+      const auto entry = fold_.entries().find(append.path);
+      if (verdict->is_void && entry != fold_.entries().end())
+        result.in_force = entry->second;
+      finished.emplace_back(id, std::move(result));
+    } else if (loop_->Now() >= append.give_up_at) {
+      finished.emplace_back(id, std::move(result));
+    }
+  }
+  for (const auto& [id, result] : finished)
+    Resolve(id, result);
+}
+
+void config_follower::Resolve(const std::string& id,
+                              const append_result& result) {
+  const auto found = appends_.find(id);
+  if (found == appends_.end())
+    return;
+  const append_callback done = std::move(found->second.done);
+  appends_.erase(found);
+  // Later, so that the caller finds the view that belongs to the result.
+  if (done)
+    RunLater(duration::zero(), [done, result] { done(result); });
+}
+
+bool config_follower::SnapshotDue() const {
+  const uint64_t records = fold_.offset() - fold_.last_snapshot();
+  return ready_ && !scan_ && fold_.skipped_newer() == 0 &&
+         (records >= options_.snapshot_records ||
+          (records > 0 &&
+           loop_->Now() - snapshot_seen_at_ >= options_.snapshot_interval));
+}
+
+void config_follower::ConsiderSnapshot() {
+  ResolveAppends();
+  if (snapshot_planned_ || !SnapshotDue() || !IsElectedReader() ||
+      loop_->Now() - snapshot_tried_at_ < kSnapshotRetry)
+    return;
+  snapshot_planned_ = true;
+  RunLater(Jitter(options_.snapshot_jitter), [this] {
+    snapshot_planned_ = false;
+    // Another node may have appended one in the meantime.
+    if (SnapshotDue())
+      AppendSnapshot();
+  });
+}
+
+void config_follower::AppendSnapshot() {
+  snapshot_tried_at_ = loop_->Now();
+  config_record record = NewRecord(record_kind::kSnapshot);
+  record.state = fold_.ToJson();
+  counters_->snapshots.Increment();
+  StartAppend(record, nullptr);
+}
+
+void config_follower::RunLater(duration delay, std::function<void()> callback) {
+  loop_->RunAfter(delay, [alive = std::weak_ptr<bool>(alive_),
+                          callback = std::move(callback)] {
+    if (!alive.expired())
+      callback();
+  });
+}
+
+duration config_follower::Jitter(duration most) {
+  return std::chrono::duration_cast<duration>(most * random_->Fraction());
+}
+
+}  // namespace skylarkhoist
