--- /dev/null
+++ b/decisions/context_tokens.h
@@ -0,0 +1,69 @@
+#ifndef DECISIONS_CONTEXT_TOKENS_H_
+#define DECISIONS_CONTEXT_TOKENS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+
+#include "decisions/request_types.h"
+#include "decisions/retry_credit.h"
+#include "kernel/random.h"
+#include "kernel/time.h"
+
+namespace skylarkhoist {
+
+// What a child call takes over from its parent.
+struct call_context {
+  request_id parent;
+  std::string customer;
+  std::string key_id;
+  time_point deadline;
+  // Child calls borrow from it, and its rest goes back with the answer.
+  retry_credit credit;
+  priority_class rank = priority_class::kNormal;
+  // Calls above this one in the chain.
+  int depth = 0;
+  double weight = 1.0;
+};
+
+// Tokens that a target presents with its child calls, in place of the
+// customer's key, which it never sees. A token is 128 random bits, written as
+// 32 hex digits, and valid only while the parent is in progress.
+//
+//   headers.Add("Skylark-Context", tokens.Issue(context));
+//   if (call_context* context = tokens.Find(header)) { ... }
+//   call_context ended = tokens.Revoke(id);   // parent's end: credit left
+class context_tokens {
+ public:
+  // `random` must be unpredictable (system_random) outside of tests: whoever
+  // guesses a token acts for its customer.
+  explicit context_tokens(random_source* random) : random_(random) {}
+
+  // One token for each parent; a second call for the same parent replaces its
+  // token.
+  std::string Issue(call_context context);
+
+  // Null for a token that is malformed, unknown or whose parent has ended. The
+  // pointer is valid until the next Issue or Revoke.
+  call_context* Find(std::string_view token);
+
+  // Ends the token of `parent` and returns its context, with the credit left;
+  // a context without credit when there is none.
+  call_context Revoke(const request_id& parent);
+
+  size_t size() const { return contexts_.size(); }
+
+ private:
+  using token_bits = std::pair<uint64_t, uint64_t>;
+
+  random_source* random_;
+  std::map<token_bits, call_context> contexts_;
+  std::unordered_map<request_id, token_bits, request_id_hash> by_parent_;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // DECISIONS_CONTEXT_TOKENS_H_
--- /dev/null
+++ b/kernel/system_random.h
@@ -0,0 +1,23 @@
+#ifndef KERNEL_SYSTEM_RANDOM_H_
+#define KERNEL_SYSTEM_RANDOM_H_
+
+#include <cstdint>
+#include <random>
+
+#include "kernel/random.h"
+
+namespace skylarkhoist {
+
+// The system's generator, for values that must not be guessed. Slower than
+// mt_random, whose later output follows from 312 earlier values.
+class system_random : public random_source {
+ public:
+  uint64_t Next() override { return (uint64_t{device_()} << 32) ^ device_(); }
+
+ private:
+  std::random_device device_;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // KERNEL_SYSTEM_RANDOM_H_
