Add early refusal at the entry

Cause: calls that a deep service refuses have already cost work above it. Change: admission keeps, for each service, the rate this node may send. The rate follows the load level that answers carry back (cut by up to 0.7, growth by up to 1.5 per 50 ms). Classes take the rate in order; a class waits 250 ms after a more important one was refused. Levels older than 1 s are ignored; 2% of the demand always passes so that the view stays fresh. Conclusion: node/entry can call OnLoad and Check.

--- /dev/null
+++ b/decisions/admission.cc
@@ -0,0 +1,167 @@
+#include "decisions/admission.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace skylarkhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Long enough for answers to show the effect of the previous step.
+constexpr duration kInterval = milliseconds(50);
+// Time constant of the average over reports.
+constexpr double kLevelSeconds = 0.03;
+// Bounds of one step of the rate. A drop to a third, as in a surge to three
+// times capacity, takes about 200 ms.
+constexpr double kLargestCut = 0.7;
+constexpr double kSmallestGrowth = 1.01;
+constexpr double kLargestGrowth = 1.5;
+// The rate never falls below this share of the demand: the calls that pass keep
+// the view fresh, and the rate returns within a second.
+constexpr double kProbeShare = 0.02;
+// Above this share of the recent rate a limit has no effect and is dropped.
+constexpr double kUnlimitedAt = 2.0;
+// Without answers for this long, one call passes to renew the level.
+constexpr duration kProbeInterval = milliseconds(100);
+
+double Seconds(duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+
+}  // namespace
+
+void admission::OnLoad(const std::string& service,
+                       uint32_t permille,
+                       time_point now) {
+  service_state& state = services_[service];
+  const double age = Seconds(now - state.reported);
+  if (now - state.reported >= kMaxAge) {
+    state.level = permille;
+  } else {
+    // A report moves the average by at least a twentieth, so that many reports
+    // at one instant have an effect.
+    const double share = std::clamp(age / (age + kLevelSeconds), 0.05, 1.0);
+    state.level += share * (permille - state.level);
+  }
+  state.reported = now;
+}
+
+void admission::Adjust(service_state& state, time_point now) {
+  const duration elapsed = now - state.interval_start;
+  if (elapsed < kInterval)
+    return;
+  const double seconds = Seconds(elapsed);
+  // After a pause the old averages say nothing.
+  const double share = elapsed > kMaxAge ? 1.0 : 0.5;
+  for (size_t rank = 0; rank < kClasses; ++rank) {
+    state.demand[rank] +=
+        share * (state.arrived[rank] / seconds - state.demand[rank]);
+  }
+  state.passed_rate += share * (state.passed / seconds - state.passed_rate);
+  state.arrived.fill(0);
+  state.passed = 0;
+  state.interval_start = now;
+
+  if (now - state.reported >= kMaxAge) {
+    state.allowed.reset();
+    return;
+  }
+  double demand = 0;
+  for (const double rate : state.demand)
+    demand += rate;
+  const double ratio = state.level / kTargetLoad;
+  if (ratio > 1.0) {
+    const double from = state.allowed
+                            ? std::min(*state.allowed, state.passed_rate * 1.5)
+                            : state.passed_rate;
+    const double cut = std::clamp(1.0 - (ratio - 1.0) * 0.5, kLargestCut, 1.0);
+    state.allowed = std::max({from * cut, demand * kProbeShare, 1.0});
+  } else if (state.allowed) {
+    const double growth =
+        std::clamp(1.0 + (1.0 - ratio) * 0.8, kSmallestGrowth, kLargestGrowth);
+    *state.allowed *= growth;
+    if (*state.allowed > std::max(demand, state.passed_rate) * kUnlimitedAt)
+      state.allowed.reset();
+  }
+}
+
+double admission::PassShare(const service_state& state, size_t rank) {
+  if (!state.allowed)
+    return 1.0;
+  double left = *state.allowed;
+  for (size_t higher = kClasses; --higher > rank;)
+    left -= state.demand[higher];
+  if (left <= 0)
+    return 0.0;
+  return state.demand[rank] <= left ? 1.0 : left / state.demand[rank];
+}
+
+bool admission::MayProbe(const service_state& state, time_point now) {
+  return now - state.reported >= kProbeInterval &&
+         now - state.last_probe >= kProbeInterval;
+}
+
+bool admission::HigherRefused(const service_state& state,
+                              size_t rank,
+                              time_point now) {
+  for (size_t higher = rank + 1; higher < kClasses; ++higher) {
+    if (now - state.refused[higher] < kClassHold)
+      return true;
+  }
+  return false;
+}
+
+std::optional<reason> admission::Check(
+    const std::string& service,
+    const std::vector<std::string>& downstream,
+    priority_class rank,
+    bool admitted,
+    time_point now,
+    random_source& random) {
+  const auto index = static_cast<size_t>(rank);
+  std::vector<service_state*> chain = {&services_[service]};
+  for (const std::string& name : downstream)
+    chain.push_back(&services_[name]);
+
+  // One draw for the whole chain: the tightest service decides, and two short
+  // services don't multiply their refusals.
+  const double draw = random.Fraction();
+  service_state* refusing = nullptr;
+  for (service_state* state : chain) {
+    Adjust(*state, now);
+    ++state->arrived[index];
+    if (now - state->reported >= kMaxAge)
+      continue;
+    bool refuse = false;
+    if (admitted) {
+      refuse =
+          state->level > kAdmittedLoad && draw >= kAdmittedLoad / state->level;
+    } else if (HigherRefused(*state, index, now)) {
+      refuse = true;
+    } else if (draw >= PassShare(*state, index)) {
+      refuse = !MayProbe(*state, now);
+      if (!refuse)
+        state->last_probe = now;
+    }
+    if (refuse)
+      refusing = state;
+  }
+  if (refusing != nullptr) {
+    refusing->refused[index] = now;
+    return reason::kOverloaded;
+  }
+  for (service_state* state : chain)
+    ++state->passed;
+  return std::nullopt;
+}
+
+std::optional<uint32_t> admission::LevelOf(const std::string& service,
+                                           time_point now) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || now - found->second.reported >= kMaxAge)
+    return std::nullopt;
+  return static_cast<uint32_t>(found->second.level);
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/decisions/admission.h
@@ -0,0 +1,97 @@
+#ifndef DECISIONS_ADMISSION_H_
+#define DECISIONS_ADMISSION_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decisions/reason.h"
+#include "decisions/request_types.h"
+#include "kernel/random.h"
+#include "kernel/time.h"
+
+namespace skylarkhoist {
+
+// Refuses requests at the entry that would fail deep in their chain, from the
+// load levels that answers carry back. One instance per node:
+//
+//   admission.OnLoad("calendar", answer.load, now);
+//   if (auto why = admission.Check("bookings", {"calendar"}, rank, false, now,
+//                                  random)) { refuse with *why }
+//
+// For each service it holds the rate that this node may send. The rate falls
+// while the reported load is above kTargetLoad and rises below it. Within the
+// rate, critical calls go first, then normal, then browse. Without a report
+// younger than kMaxAge there is no limit.
+class admission {
+ public:
+  // Load in permille at which the rate is held: full plus a short queue, which
+  // keeps targets busy between two reports.
+  static constexpr uint32_t kTargetLoad = 1300;
+  // An admitted call is refused only above this load, because its parent's work
+  // is lost with it.
+  static constexpr uint32_t kAdmittedLoad = 6000;
+  static constexpr duration kMaxAge = std::chrono::seconds(1);
+
+  // No new call passes within this time after a more important one was refused
+  // for the same service.
+  static constexpr duration kClassHold = std::chrono::milliseconds(250);
+
+  // Takes a load level of `service` from an answer; 1000 means full, more means
+  // that calls wait.
+  void OnLoad(const std::string& service, uint32_t permille, time_point now);
+
+  // Returns why a request to `service`, whose chain goes on to `downstream`, is
+  // refused; nothing when it may go on. A request that may go on counts against
+  // the rate of each of the services.
+  std::optional<reason> Check(const std::string& service,
+                              const std::vector<std::string>& downstream,
+                              priority_class rank,
+                              bool admitted,
+                              time_point now,
+                              random_source& random);
+
+  // The present load level of `service`, to be passed on in answers; nothing
+  // when no fresh one is known.
+  std::optional<uint32_t> LevelOf(const std::string& service,
+                                  time_point now) const;
+
+ private:
+  static constexpr size_t kClasses = 3;
+
+  struct service_state {
+    // Average of the reports, weighted towards the recent ones.
+    double level = 0;
+    time_point reported;
+    // Calls a second; nothing while the service is not limited.
+    std::optional<double> allowed;
+    // Arrivals and passed calls of the current interval.
+    std::array<int, kClasses> arrived{};
+    int passed = 0;
+    // Calls a second, averaged over some intervals.
+    std::array<double, kClasses> demand{};
+    double passed_rate = 0;
+    time_point interval_start;
+    time_point last_probe;
+    // When a call of each class was last refused.
+    std::array<time_point, kClasses> refused;
+  };
+
+  static void Adjust(service_state& state, time_point now);
+  // Probability that a new call of this class passes.
+  static double PassShare(const service_state& state, size_t rank);
+  static bool MayProbe(const service_state& state, time_point now);
+  static bool HigherRefused(const service_state& state,
+                            size_t rank,
+                            time_point now);
+
+  std::map<std::string, service_state> services_;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // DECISIONS_ADMISSION_H_
