--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -114,6 +114,10 @@
 struct dedup_recordBuilder;
 struct dedup_recordT;
 
+struct dedup_group;
+struct dedup_groupBuilder;
+struct dedup_groupT;
+
 struct dedup_sync;
 struct dedup_syncBuilder;
 struct dedup_syncT;
@@ -176,6 +180,8 @@
 bool operator!=(const dedup_resultT &lhs, const dedup_resultT &rhs);
 bool operator==(const dedup_recordT &lhs, const dedup_recordT &rhs);
 bool operator!=(const dedup_recordT &lhs, const dedup_recordT &rhs);
+bool operator==(const dedup_groupT &lhs, const dedup_groupT &rhs);
+bool operator!=(const dedup_groupT &lhs, const dedup_groupT &rhs);
 bool operator==(const dedup_syncT &lhs, const dedup_syncT &rhs);
 bool operator!=(const dedup_syncT &lhs, const dedup_syncT &rhs);
 bool operator==(const suspectT &lhs, const suspectT &rhs);
@@ -327,35 +333,38 @@
   kKnownFinished = 2,
   kBlind = 3,
   kStaleRoster = 4,
+  kFree = 5,
   MIN = kGranted,
-  MAX = kStaleRoster
+  MAX = kFree
 };
 
-inline const dedup_state (&EnumValuesdedup_state())[5] {
+inline const dedup_state (&EnumValuesdedup_state())[6] {
   static const dedup_state values[] = {
     dedup_state::kGranted,
     dedup_state::kKnownRunning,
     dedup_state::kKnownFinished,
     dedup_state::kBlind,
-    dedup_state::kStaleRoster
+    dedup_state::kStaleRoster,
+    dedup_state::kFree
   };
   return values;
 }
 
 inline const char * const *EnumNamesdedup_state() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "kGranted",
     "kKnownRunning",
     "kKnownFinished",
     "kBlind",
     "kStaleRoster",
+    "kFree",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamededup_state(dedup_state e) {
-  if (flatbuffers::IsOutRange(e, dedup_state::kGranted, dedup_state::kStaleRoster)) return "";
+  if (flatbuffers::IsOutRange(e, dedup_state::kGranted, dedup_state::kFree)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesdedup_state()[index];
 }
@@ -3389,6 +3398,8 @@
   uint64_t key_hash_high = 0;
   uint64_t key_hash_low = 0;
   uint64_t created_unix_ms = 0;
+  uint32_t round = 0;
+  bool query_only = false;
   dedup_claimT() = default;
   dedup_claimT(const dedup_claimT &o);
   dedup_claimT(dedup_claimT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3405,7 +3416,9 @@
     VT_ROSTER_VERSION = 8,
     VT_KEY_HASH_HIGH = 10,
     VT_KEY_HASH_LOW = 12,
-    VT_CREATED_UNIX_MS = 14
+    VT_CREATED_UNIX_MS = 14,
+    VT_ROUND = 16,
+    VT_QUERY_ONLY = 18
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -3425,6 +3438,12 @@
   uint64_t created_unix_ms() const {
     return GetField<uint64_t>(VT_CREATED_UNIX_MS, 0);
   }
+  uint32_t round() const {
+    return GetField<uint32_t>(VT_ROUND, 0);
+  }
+  bool query_only() const {
+    return GetField<uint8_t>(VT_QUERY_ONLY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -3433,6 +3452,8 @@
            VerifyField<uint64_t>(verifier, VT_KEY_HASH_HIGH, 8) &&
            VerifyField<uint64_t>(verifier, VT_KEY_HASH_LOW, 8) &&
            VerifyField<uint64_t>(verifier, VT_CREATED_UNIX_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ROUND, 4) &&
+           VerifyField<uint8_t>(verifier, VT_QUERY_ONLY, 1) &&
            verifier.EndTable();
   }
   dedup_claimT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3462,6 +3483,12 @@
   void add_created_unix_ms(uint64_t created_unix_ms) {
     fbb_.AddElement<uint64_t>(dedup_claim::VT_CREATED_UNIX_MS, created_unix_ms, 0);
   }
+  void add_round(uint32_t round) {
+    fbb_.AddElement<uint32_t>(dedup_claim::VT_ROUND, round, 0);
+  }
+  void add_query_only(bool query_only) {
+    fbb_.AddElement<uint8_t>(dedup_claim::VT_QUERY_ONLY, static_cast<uint8_t>(query_only), 0);
+  }
   explicit dedup_claimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3480,14 +3507,18 @@
     uint64_t roster_version = 0,
     uint64_t key_hash_high = 0,
     uint64_t key_hash_low = 0,
-    uint64_t created_unix_ms = 0) {
+    uint64_t created_unix_ms = 0,
+    uint32_t round = 0,
+    bool query_only = false) {
   dedup_claimBuilder builder_(_fbb);
   builder_.add_created_unix_ms(created_unix_ms);
   builder_.add_key_hash_low(key_hash_low);
   builder_.add_key_hash_high(key_hash_high);
   builder_.add_roster_version(roster_version);
+  builder_.add_round(round);
   builder_.add_shard(shard);
   builder_.add_id(id);
+  builder_.add_query_only(query_only);
   return builder_.Finish();
 }
 
@@ -3506,6 +3537,8 @@
   std::string first_origin{};
   uint64_t roster_version = 0;
   std::unique_ptr<skylarkhoist::fbs::call_answerT> answer{};
+  uint32_t round = 0;
+  skylarkhoist::fbs::outcome outcome = skylarkhoist::fbs::outcome::kNone;
   dedup_verdictT() = default;
   dedup_verdictT(const dedup_verdictT &o);
   dedup_verdictT(dedup_verdictT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3522,7 +3555,9 @@
     VT_FIRST_ID = 8,
     VT_FIRST_ORIGIN = 10,
     VT_ROSTER_VERSION = 12,
-    VT_ANSWER = 14
+    VT_ANSWER = 14,
+    VT_ROUND = 16,
+    VT_OUTCOME = 18
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -3542,6 +3577,12 @@
   const skylarkhoist::fbs::call_answer *answer() const {
     return GetPointer<const skylarkhoist::fbs::call_answer *>(VT_ANSWER);
   }
+  uint32_t round() const {
+    return GetField<uint32_t>(VT_ROUND, 0);
+  }
+  skylarkhoist::fbs::outcome outcome() const {
+    return static_cast<skylarkhoist::fbs::outcome>(GetField<uint8_t>(VT_OUTCOME, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -3552,6 +3593,8 @@
            VerifyField<uint64_t>(verifier, VT_ROSTER_VERSION, 8) &&
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyTable(answer()) &&
+           VerifyField<uint32_t>(verifier, VT_ROUND, 4) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            verifier.EndTable();
   }
   dedup_verdictT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3581,6 +3624,12 @@
   void add_answer(flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer) {
     fbb_.AddOffset(dedup_verdict::VT_ANSWER, answer);
   }
+  void add_round(uint32_t round) {
+    fbb_.AddElement<uint32_t>(dedup_verdict::VT_ROUND, round, 0);
+  }
+  void add_outcome(skylarkhoist::fbs::outcome outcome) {
+    fbb_.AddElement<uint8_t>(dedup_verdict::VT_OUTCOME, static_cast<uint8_t>(outcome), 0);
+  }
   explicit dedup_verdictBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3599,13 +3648,17 @@
     const skylarkhoist::fbs::request_id *first_id = nullptr,
     flatbuffers::Offset<flatbuffers::String> first_origin = 0,
     uint64_t roster_version = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0,
+    uint32_t round = 0,
+    skylarkhoist::fbs::outcome outcome = skylarkhoist::fbs::outcome::kNone) {
   dedup_verdictBuilder builder_(_fbb);
   builder_.add_roster_version(roster_version);
+  builder_.add_round(round);
   builder_.add_answer(answer);
   builder_.add_first_origin(first_origin);
   builder_.add_first_id(first_id);
   builder_.add_id(id);
+  builder_.add_outcome(outcome);
   builder_.add_state(state);
   return builder_.Finish();
 }
@@ -3622,7 +3675,9 @@
     const skylarkhoist::fbs::request_id *first_id = nullptr,
     const char *first_origin = nullptr,
     uint64_t roster_version = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0,
+    uint32_t round = 0,
+    skylarkhoist::fbs::outcome outcome = skylarkhoist::fbs::outcome::kNone) {
   auto first_origin__ = first_origin ? _fbb.CreateString(first_origin) : 0;
   return skylarkhoist::fbs::Creatededup_verdict(
       _fbb,
@@ -3631,7 +3686,9 @@
       first_id,
       first_origin__,
       roster_version,
-      answer);
+      answer,
+      round,
+      outcome);
 }
 
 flatbuffers::Offset<dedup_verdict> Creatededup_verdict(flatbuffers::FlatBufferBuilder &_fbb, const dedup_verdictT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3644,6 +3701,7 @@
   uint64_t key_hash_low = 0;
   skylarkhoist::fbs::outcome outcome = skylarkhoist::fbs::outcome::kNone;
   std::unique_ptr<skylarkhoist::fbs::call_answerT> answer{};
+  uint32_t round = 0;
   dedup_resultT() = default;
   dedup_resultT(const dedup_resultT &o);
   dedup_resultT(dedup_resultT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3660,7 +3718,8 @@
     VT_KEY_HASH_HIGH = 8,
     VT_KEY_HASH_LOW = 10,
     VT_OUTCOME = 12,
-    VT_ANSWER = 14
+    VT_ANSWER = 14,
+    VT_ROUND = 16
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -3680,6 +3739,9 @@
   const skylarkhoist::fbs::call_answer *answer() const {
     return GetPointer<const skylarkhoist::fbs::call_answer *>(VT_ANSWER);
   }
+  uint32_t round() const {
+    return GetField<uint32_t>(VT_ROUND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -3689,6 +3751,7 @@
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyTable(answer()) &&
+           VerifyField<uint32_t>(verifier, VT_ROUND, 4) &&
            verifier.EndTable();
   }
   dedup_resultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3718,6 +3781,9 @@
   void add_answer(flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer) {
     fbb_.AddOffset(dedup_result::VT_ANSWER, answer);
   }
+  void add_round(uint32_t round) {
+    fbb_.AddElement<uint32_t>(dedup_result::VT_ROUND, round, 0);
+  }
   explicit dedup_resultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3736,10 +3802,12 @@
     uint64_t key_hash_high = 0,
     uint64_t key_hash_low = 0,
     skylarkhoist::fbs::outcome outcome = skylarkhoist::fbs::outcome::kNone,
-    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0,
+    uint32_t round = 0) {
   dedup_resultBuilder builder_(_fbb);
   builder_.add_key_hash_low(key_hash_low);
   builder_.add_key_hash_high(key_hash_high);
+  builder_.add_round(round);
   builder_.add_answer(answer);
   builder_.add_shard(shard);
   builder_.add_id(id);
@@ -3764,6 +3832,7 @@
   skylarkhoist::fbs::outcome outcome = skylarkhoist::fbs::outcome::kNone;
   uint32_t age_ms = 0;
   std::unique_ptr<skylarkhoist::fbs::call_answerT> answer{};
+  uint32_t round = 0;
   dedup_recordT() = default;
   dedup_recordT(const dedup_recordT &o);
   dedup_recordT(dedup_recordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3782,7 +3851,8 @@
     VT_ORIGIN = 12,
     VT_OUTCOME = 14,
     VT_AGE_MS = 16,
-    VT_ANSWER = 18
+    VT_ANSWER = 18,
+    VT_ROUND = 20
   };
   uint32_t shard() const {
     return GetField<uint32_t>(VT_SHARD, 0);
@@ -3808,6 +3878,9 @@
   const skylarkhoist::fbs::call_answer *answer() const {
     return GetPointer<const skylarkhoist::fbs::call_answer *>(VT_ANSWER);
   }
+  uint32_t round() const {
+    return GetField<uint32_t>(VT_ROUND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SHARD, 4) &&
@@ -3820,6 +3893,7 @@
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyTable(answer()) &&
+           VerifyField<uint32_t>(verifier, VT_ROUND, 4) &&
            verifier.EndTable();
   }
   dedup_recordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3855,6 +3929,9 @@
   void add_answer(flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer) {
     fbb_.AddOffset(dedup_record::VT_ANSWER, answer);
   }
+  void add_round(uint32_t round) {
+    fbb_.AddElement<uint32_t>(dedup_record::VT_ROUND, round, 0);
+  }
   explicit dedup_recordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3875,10 +3952,12 @@
     flatbuffers::Offset<flatbuffers::String> origin = 0,
     skylarkhoist::fbs::outcome outcome = skylarkhoist::fbs::outcome::kNone,
     uint32_t age_ms = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0,
+    uint32_t round = 0) {
   dedup_recordBuilder builder_(_fbb);
   builder_.add_key_hash_low(key_hash_low);
   builder_.add_key_hash_high(key_hash_high);
+  builder_.add_round(round);
   builder_.add_answer(answer);
   builder_.add_age_ms(age_ms);
   builder_.add_origin(origin);
@@ -3902,7 +3981,8 @@
     const char *origin = nullptr,
     skylarkhoist::fbs::outcome outcome = skylarkhoist::fbs::outcome::kNone,
     uint32_t age_ms = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::call_answer> answer = 0,
+    uint32_t round = 0) {
   auto origin__ = origin ? _fbb.CreateString(origin) : 0;
   return skylarkhoist::fbs::Creatededup_record(
       _fbb,
@@ -3913,11 +3993,109 @@
       origin__,
       outcome,
       age_ms,
-      answer);
+      answer,
+      round);
 }
 
 flatbuffers::Offset<dedup_record> Creatededup_record(flatbuffers::FlatBufferBuilder &_fbb, const dedup_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct dedup_groupT : public flatbuffers::NativeTable {
+  typedef dedup_group TableType;
+  uint64_t version = 0;
+  std::vector<uint64_t> incarnations{};
+  std::vector<std::string> addresses{};
+};
+
+struct dedup_group FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef dedup_groupT NativeTableType;
+  typedef dedup_groupBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_INCARNATIONS = 6,
+    VT_ADDRESSES = 8
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *incarnations() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_INCARNATIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *addresses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ADDRESSES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_INCARNATIONS) &&
+           verifier.VerifyVector(incarnations()) &&
+           VerifyOffset(verifier, VT_ADDRESSES) &&
+           verifier.VerifyVector(addresses()) &&
+           verifier.VerifyVectorOfStrings(addresses()) &&
+           verifier.EndTable();
+  }
+  dedup_groupT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(dedup_groupT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<dedup_group> Pack(flatbuffers::FlatBufferBuilder &_fbb, const dedup_groupT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct dedup_groupBuilder {
+  typedef dedup_group Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(dedup_group::VT_VERSION, version, 0);
+  }
+  void add_incarnations(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> incarnations) {
+    fbb_.AddOffset(dedup_group::VT_INCARNATIONS, incarnations);
+  }
+  void add_addresses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> addresses) {
+    fbb_.AddOffset(dedup_group::VT_ADDRESSES, addresses);
+  }
+  explicit dedup_groupBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<dedup_group> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<dedup_group>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<dedup_group> Creatededup_group(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> incarnations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> addresses = 0) {
+  dedup_groupBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_addresses(addresses);
+  builder_.add_incarnations(incarnations);
+  return builder_.Finish();
+}
+
+struct dedup_group::Traits {
+  using type = dedup_group;
+  static auto constexpr Create = Creatededup_group;
+};
+
+inline flatbuffers::Offset<dedup_group> Creatededup_groupDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const std::vector<uint64_t> *incarnations = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *addresses = nullptr) {
+  auto incarnations__ = incarnations ? _fbb.CreateVector<uint64_t>(*incarnations) : 0;
+  auto addresses__ = addresses ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*addresses) : 0;
+  return skylarkhoist::fbs::Creatededup_group(
+      _fbb,
+      version,
+      incarnations__,
+      addresses__);
+}
+
+flatbuffers::Offset<dedup_group> Creatededup_group(flatbuffers::FlatBufferBuilder &_fbb, const dedup_groupT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct dedup_syncT : public flatbuffers::NativeTable {
   typedef dedup_sync TableType;
   uint32_t shard = 0;
@@ -3926,6 +4104,12 @@
   uint32_t blind_age_ms = 0;
   bool last = false;
   std::vector<std::unique_ptr<skylarkhoist::fbs::dedup_recordT>> records{};
+  uint64_t sighted_through = 0;
+  std::vector<std::unique_ptr<skylarkhoist::fbs::dedup_groupT>> groups{};
+  bool hand_over = false;
+  uint32_t round = 0;
+  uint32_t chunk = 0;
+  uint32_t chunks = 0;
   dedup_syncT() = default;
   dedup_syncT(const dedup_syncT &o);
   dedup_syncT(dedup_syncT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3942,7 +4126,13 @@
     VT_REQUEST = 8,
     VT_BLIND_AGE_MS = 10,
     VT_LAST = 12,
-    VT_RECORDS = 14
+    VT_RECORDS = 14,
+    VT_SIGHTED_THROUGH = 16,
+    VT_GROUPS = 18,
+    VT_HAND_OVER = 20,
+    VT_ROUND = 22,
+    VT_CHUNK = 24,
+    VT_CHUNKS = 26
   };
   uint32_t shard() const {
     return GetField<uint32_t>(VT_SHARD, 0);
@@ -3962,6 +4152,24 @@
   const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>> *>(VT_RECORDS);
   }
+  uint64_t sighted_through() const {
+    return GetField<uint64_t>(VT_SIGHTED_THROUGH, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_group>> *groups() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_group>> *>(VT_GROUPS);
+  }
+  bool hand_over() const {
+    return GetField<uint8_t>(VT_HAND_OVER, 0) != 0;
+  }
+  uint32_t round() const {
+    return GetField<uint32_t>(VT_ROUND, 0);
+  }
+  uint32_t chunk() const {
+    return GetField<uint32_t>(VT_CHUNK, 0);
+  }
+  uint32_t chunks() const {
+    return GetField<uint32_t>(VT_CHUNKS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SHARD, 4) &&
@@ -3972,6 +4180,14 @@
            VerifyOffset(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
+           VerifyField<uint64_t>(verifier, VT_SIGHTED_THROUGH, 8) &&
+           VerifyOffset(verifier, VT_GROUPS) &&
+           verifier.VerifyVector(groups()) &&
+           verifier.VerifyVectorOfTables(groups()) &&
+           VerifyField<uint8_t>(verifier, VT_HAND_OVER, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ROUND, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CHUNK, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CHUNKS, 4) &&
            verifier.EndTable();
   }
   dedup_syncT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4001,6 +4217,24 @@
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>>> records) {
     fbb_.AddOffset(dedup_sync::VT_RECORDS, records);
   }
+  void add_sighted_through(uint64_t sighted_through) {
+    fbb_.AddElement<uint64_t>(dedup_sync::VT_SIGHTED_THROUGH, sighted_through, 0);
+  }
+  void add_groups(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_group>>> groups) {
+    fbb_.AddOffset(dedup_sync::VT_GROUPS, groups);
+  }
+  void add_hand_over(bool hand_over) {
+    fbb_.AddElement<uint8_t>(dedup_sync::VT_HAND_OVER, static_cast<uint8_t>(hand_over), 0);
+  }
+  void add_round(uint32_t round) {
+    fbb_.AddElement<uint32_t>(dedup_sync::VT_ROUND, round, 0);
+  }
+  void add_chunk(uint32_t chunk) {
+    fbb_.AddElement<uint32_t>(dedup_sync::VT_CHUNK, chunk, 0);
+  }
+  void add_chunks(uint32_t chunks) {
+    fbb_.AddElement<uint32_t>(dedup_sync::VT_CHUNKS, chunks, 0);
+  }
   explicit dedup_syncBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4019,12 +4253,24 @@
     bool request = false,
     uint32_t blind_age_ms = 0,
     bool last = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>>> records = 0,
+    uint64_t sighted_through = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_group>>> groups = 0,
+    bool hand_over = false,
+    uint32_t round = 0,
+    uint32_t chunk = 0,
+    uint32_t chunks = 0) {
   dedup_syncBuilder builder_(_fbb);
+  builder_.add_sighted_through(sighted_through);
   builder_.add_roster_version(roster_version);
+  builder_.add_chunks(chunks);
+  builder_.add_chunk(chunk);
+  builder_.add_round(round);
+  builder_.add_groups(groups);
   builder_.add_records(records);
   builder_.add_blind_age_ms(blind_age_ms);
   builder_.add_shard(shard);
+  builder_.add_hand_over(hand_over);
   builder_.add_last(last);
   builder_.add_request(request);
   return builder_.Finish();
@@ -4042,8 +4288,15 @@
     bool request = false,
     uint32_t blind_age_ms = 0,
     bool last = false,
-    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>> *records = nullptr) {
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>> *records = nullptr,
+    uint64_t sighted_through = 0,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::dedup_group>> *groups = nullptr,
+    bool hand_over = false,
+    uint32_t round = 0,
+    uint32_t chunk = 0,
+    uint32_t chunks = 0) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>>(*records) : 0;
+  auto groups__ = groups ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::dedup_group>>(*groups) : 0;
   return skylarkhoist::fbs::Creatededup_sync(
       _fbb,
       shard,
@@ -4051,7 +4304,13 @@
       request,
       blind_age_ms,
       last,
-      records__);
+      records__,
+      sighted_through,
+      groups__,
+      hand_over,
+      round,
+      chunk,
+      chunks);
 }
 
 flatbuffers::Offset<dedup_sync> Creatededup_sync(flatbuffers::FlatBufferBuilder &_fbb, const dedup_syncT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5608,7 +5867,9 @@
       (lhs.roster_version == rhs.roster_version) &&
       (lhs.key_hash_high == rhs.key_hash_high) &&
       (lhs.key_hash_low == rhs.key_hash_low) &&
-      (lhs.created_unix_ms == rhs.created_unix_ms);
+      (lhs.created_unix_ms == rhs.created_unix_ms) &&
+      (lhs.round == rhs.round) &&
+      (lhs.query_only == rhs.query_only);
 }
 
 inline bool operator!=(const dedup_claimT &lhs, const dedup_claimT &rhs) {
@@ -5622,7 +5883,9 @@
         roster_version(o.roster_version),
         key_hash_high(o.key_hash_high),
         key_hash_low(o.key_hash_low),
-        created_unix_ms(o.created_unix_ms) {
+        created_unix_ms(o.created_unix_ms),
+        round(o.round),
+        query_only(o.query_only) {
 }
 
 inline dedup_claimT &dedup_claimT::operator=(dedup_claimT o) FLATBUFFERS_NOEXCEPT {
@@ -5632,6 +5895,8 @@
   std::swap(key_hash_high, o.key_hash_high);
   std::swap(key_hash_low, o.key_hash_low);
   std::swap(created_unix_ms, o.created_unix_ms);
+  std::swap(round, o.round);
+  std::swap(query_only, o.query_only);
   return *this;
 }
 
@@ -5650,6 +5915,8 @@
   { auto _e = key_hash_high(); _o->key_hash_high = _e; }
   { auto _e = key_hash_low(); _o->key_hash_low = _e; }
   { auto _e = created_unix_ms(); _o->created_unix_ms = _e; }
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = query_only(); _o->query_only = _e; }
 }
 
 inline flatbuffers::Offset<dedup_claim> dedup_claim::Pack(flatbuffers::FlatBufferBuilder &_fbb, const dedup_claimT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5666,6 +5933,8 @@
   auto _key_hash_high = _o->key_hash_high;
   auto _key_hash_low = _o->key_hash_low;
   auto _created_unix_ms = _o->created_unix_ms;
+  auto _round = _o->round;
+  auto _query_only = _o->query_only;
   return skylarkhoist::fbs::Creatededup_claim(
       _fbb,
       _id,
@@ -5673,7 +5942,9 @@
       _roster_version,
       _key_hash_high,
       _key_hash_low,
-      _created_unix_ms);
+      _created_unix_ms,
+      _round,
+      _query_only);
 }
 
 
@@ -5684,7 +5955,9 @@
       ((lhs.first_id == rhs.first_id) || (lhs.first_id && rhs.first_id && *lhs.first_id == *rhs.first_id)) &&
       (lhs.first_origin == rhs.first_origin) &&
       (lhs.roster_version == rhs.roster_version) &&
-      ((lhs.answer == rhs.answer) || (lhs.answer && rhs.answer && *lhs.answer == *rhs.answer));
+      ((lhs.answer == rhs.answer) || (lhs.answer && rhs.answer && *lhs.answer == *rhs.answer)) &&
+      (lhs.round == rhs.round) &&
+      (lhs.outcome == rhs.outcome);
 }
 
 inline bool operator!=(const dedup_verdictT &lhs, const dedup_verdictT &rhs) {
@@ -5698,7 +5971,9 @@
         first_id((o.first_id) ? new skylarkhoist::fbs::request_id(*o.first_id) : nullptr),
         first_origin(o.first_origin),
         roster_version(o.roster_version),
-        answer((o.answer) ? new skylarkhoist::fbs::call_answerT(*o.answer) : nullptr) {
+        answer((o.answer) ? new skylarkhoist::fbs::call_answerT(*o.answer) : nullptr),
+        round(o.round),
+        outcome(o.outcome) {
 }
 
 inline dedup_verdictT &dedup_verdictT::operator=(dedup_verdictT o) FLATBUFFERS_NOEXCEPT {
@@ -5708,6 +5983,8 @@
   std::swap(first_origin, o.first_origin);
   std::swap(roster_version, o.roster_version);
   std::swap(answer, o.answer);
+  std::swap(round, o.round);
+  std::swap(outcome, o.outcome);
   return *this;
 }
 
@@ -5726,6 +6003,8 @@
   { auto _e = first_origin(); if (_e) _o->first_origin = _e->str(); }
   { auto _e = roster_version(); _o->roster_version = _e; }
   { auto _e = answer(); if (_e) _o->answer = std::unique_ptr<skylarkhoist::fbs::call_answerT>(_e->UnPack(_resolver)); }
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = outcome(); _o->outcome = _e; }
 }
 
 inline flatbuffers::Offset<dedup_verdict> dedup_verdict::Pack(flatbuffers::FlatBufferBuilder &_fbb, const dedup_verdictT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5742,6 +6021,8 @@
   auto _first_origin = _o->first_origin.empty() ? 0 : _fbb.CreateString(_o->first_origin);
   auto _roster_version = _o->roster_version;
   auto _answer = _o->answer ? Createcall_answer(_fbb, _o->answer.get(), _rehasher) : 0;
+  auto _round = _o->round;
+  auto _outcome = _o->outcome;
   return skylarkhoist::fbs::Creatededup_verdict(
       _fbb,
       _id,
@@ -5749,7 +6030,9 @@
       _first_id,
       _first_origin,
       _roster_version,
-      _answer);
+      _answer,
+      _round,
+      _outcome);
 }
 
 
@@ -5760,7 +6043,8 @@
       (lhs.key_hash_high == rhs.key_hash_high) &&
       (lhs.key_hash_low == rhs.key_hash_low) &&
       (lhs.outcome == rhs.outcome) &&
-      ((lhs.answer == rhs.answer) || (lhs.answer && rhs.answer && *lhs.answer == *rhs.answer));
+      ((lhs.answer == rhs.answer) || (lhs.answer && rhs.answer && *lhs.answer == *rhs.answer)) &&
+      (lhs.round == rhs.round);
 }
 
 inline bool operator!=(const dedup_resultT &lhs, const dedup_resultT &rhs) {
@@ -5774,7 +6058,8 @@
         key_hash_high(o.key_hash_high),
         key_hash_low(o.key_hash_low),
         outcome(o.outcome),
-        answer((o.answer) ? new skylarkhoist::fbs::call_answerT(*o.answer) : nullptr) {
+        answer((o.answer) ? new skylarkhoist::fbs::call_answerT(*o.answer) : nullptr),
+        round(o.round) {
 }
 
 inline dedup_resultT &dedup_resultT::operator=(dedup_resultT o) FLATBUFFERS_NOEXCEPT {
@@ -5784,6 +6069,7 @@
   std::swap(key_hash_low, o.key_hash_low);
   std::swap(outcome, o.outcome);
   std::swap(answer, o.answer);
+  std::swap(round, o.round);
   return *this;
 }
 
@@ -5802,6 +6088,7 @@
   { auto _e = key_hash_low(); _o->key_hash_low = _e; }
   { auto _e = outcome(); _o->outcome = _e; }
   { auto _e = answer(); if (_e) _o->answer = std::unique_ptr<skylarkhoist::fbs::call_answerT>(_e->UnPack(_resolver)); }
+  { auto _e = round(); _o->round = _e; }
 }
 
 inline flatbuffers::Offset<dedup_result> dedup_result::Pack(flatbuffers::FlatBufferBuilder &_fbb, const dedup_resultT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5818,6 +6105,7 @@
   auto _key_hash_low = _o->key_hash_low;
   auto _outcome = _o->outcome;
   auto _answer = _o->answer ? Createcall_answer(_fbb, _o->answer.get(), _rehasher) : 0;
+  auto _round = _o->round;
   return skylarkhoist::fbs::Creatededup_result(
       _fbb,
       _id,
@@ -5825,7 +6113,8 @@
       _key_hash_high,
       _key_hash_low,
       _outcome,
-      _answer);
+      _answer,
+      _round);
 }
 
 
@@ -5838,7 +6127,8 @@
       (lhs.origin == rhs.origin) &&
       (lhs.outcome == rhs.outcome) &&
       (lhs.age_ms == rhs.age_ms) &&
-      ((lhs.answer == rhs.answer) || (lhs.answer && rhs.answer && *lhs.answer == *rhs.answer));
+      ((lhs.answer == rhs.answer) || (lhs.answer && rhs.answer && *lhs.answer == *rhs.answer)) &&
+      (lhs.round == rhs.round);
 }
 
 inline bool operator!=(const dedup_recordT &lhs, const dedup_recordT &rhs) {
@@ -5854,7 +6144,8 @@
         origin(o.origin),
         outcome(o.outcome),
         age_ms(o.age_ms),
-        answer((o.answer) ? new skylarkhoist::fbs::call_answerT(*o.answer) : nullptr) {
+        answer((o.answer) ? new skylarkhoist::fbs::call_answerT(*o.answer) : nullptr),
+        round(o.round) {
 }
 
 inline dedup_recordT &dedup_recordT::operator=(dedup_recordT o) FLATBUFFERS_NOEXCEPT {
@@ -5866,6 +6157,7 @@
   std::swap(outcome, o.outcome);
   std::swap(age_ms, o.age_ms);
   std::swap(answer, o.answer);
+  std::swap(round, o.round);
   return *this;
 }
 
@@ -5886,6 +6178,7 @@
   { auto _e = outcome(); _o->outcome = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = answer(); if (_e) _o->answer = std::unique_ptr<skylarkhoist::fbs::call_answerT>(_e->UnPack(_resolver)); }
+  { auto _e = round(); _o->round = _e; }
 }
 
 inline flatbuffers::Offset<dedup_record> dedup_record::Pack(flatbuffers::FlatBufferBuilder &_fbb, const dedup_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5904,6 +6197,7 @@
   auto _outcome = _o->outcome;
   auto _age_ms = _o->age_ms;
   auto _answer = _o->answer ? Createcall_answer(_fbb, _o->answer.get(), _rehasher) : 0;
+  auto _round = _o->round;
   return skylarkhoist::fbs::Creatededup_record(
       _fbb,
       _shard,
@@ -5913,7 +6207,53 @@
       _origin,
       _outcome,
       _age_ms,
-      _answer);
+      _answer,
+      _round);
+}
+
+
+inline bool operator==(const dedup_groupT &lhs, const dedup_groupT &rhs) {
+  return
+      (lhs.version == rhs.version) &&
+      (lhs.incarnations == rhs.incarnations) &&
+      (lhs.addresses == rhs.addresses);
+}
+
+inline bool operator!=(const dedup_groupT &lhs, const dedup_groupT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline dedup_groupT *dedup_group::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<dedup_groupT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void dedup_group::UnPackTo(dedup_groupT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = incarnations(); if (_e) { _o->incarnations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->incarnations[_i] = _e->Get(_i); } } }
+  { auto _e = addresses(); if (_e) { _o->addresses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->addresses[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<dedup_group> dedup_group::Pack(flatbuffers::FlatBufferBuilder &_fbb, const dedup_groupT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Creatededup_group(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<dedup_group> Creatededup_group(flatbuffers::FlatBufferBuilder &_fbb, const dedup_groupT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const dedup_groupT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _incarnations = _o->incarnations.size() ? _fbb.CreateVector(_o->incarnations) : 0;
+  auto _addresses = _o->addresses.size() ? _fbb.CreateVectorOfStrings(_o->addresses) : 0;
+  return skylarkhoist::fbs::Creatededup_group(
+      _fbb,
+      _version,
+      _incarnations,
+      _addresses);
 }
 
 
@@ -5924,7 +6264,13 @@
       (lhs.request == rhs.request) &&
       (lhs.blind_age_ms == rhs.blind_age_ms) &&
       (lhs.last == rhs.last) &&
-      (lhs.records.size() == rhs.records.size() && std::equal(lhs.records.cbegin(), lhs.records.cend(), rhs.records.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::dedup_recordT> const &a, std::unique_ptr<skylarkhoist::fbs::dedup_recordT> const &b) { return (a == b) || (a && b && *a == *b); }));
+      (lhs.records.size() == rhs.records.size() && std::equal(lhs.records.cbegin(), lhs.records.cend(), rhs.records.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::dedup_recordT> const &a, std::unique_ptr<skylarkhoist::fbs::dedup_recordT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.sighted_through == rhs.sighted_through) &&
+      (lhs.groups.size() == rhs.groups.size() && std::equal(lhs.groups.cbegin(), lhs.groups.cend(), rhs.groups.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::dedup_groupT> const &a, std::unique_ptr<skylarkhoist::fbs::dedup_groupT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.hand_over == rhs.hand_over) &&
+      (lhs.round == rhs.round) &&
+      (lhs.chunk == rhs.chunk) &&
+      (lhs.chunks == rhs.chunks);
 }
 
 inline bool operator!=(const dedup_syncT &lhs, const dedup_syncT &rhs) {
@@ -5937,9 +6283,16 @@
         roster_version(o.roster_version),
         request(o.request),
         blind_age_ms(o.blind_age_ms),
-        last(o.last) {
+        last(o.last),
+        sighted_through(o.sighted_through),
+        hand_over(o.hand_over),
+        round(o.round),
+        chunk(o.chunk),
+        chunks(o.chunks) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new skylarkhoist::fbs::dedup_recordT(*records_) : nullptr); }
+  groups.reserve(o.groups.size());
+  for (const auto &groups_ : o.groups) { groups.emplace_back((groups_) ? new skylarkhoist::fbs::dedup_groupT(*groups_) : nullptr); }
 }
 
 inline dedup_syncT &dedup_syncT::operator=(dedup_syncT o) FLATBUFFERS_NOEXCEPT {
@@ -5949,6 +6302,12 @@
   std::swap(blind_age_ms, o.blind_age_ms);
   std::swap(last, o.last);
   std::swap(records, o.records);
+  std::swap(sighted_through, o.sighted_through);
+  std::swap(groups, o.groups);
+  std::swap(hand_over, o.hand_over);
+  std::swap(round, o.round);
+  std::swap(chunk, o.chunk);
+  std::swap(chunks, o.chunks);
   return *this;
 }
 
@@ -5967,6 +6326,12 @@
   { auto _e = blind_age_ms(); _o->blind_age_ms = _e; }
   { auto _e = last(); _o->last = _e; }
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<skylarkhoist::fbs::dedup_recordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = sighted_through(); _o->sighted_through = _e; }
+  { auto _e = groups(); if (_e) { _o->groups.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->groups[_i] = std::unique_ptr<skylarkhoist::fbs::dedup_groupT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = hand_over(); _o->hand_over = _e; }
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = chunk(); _o->chunk = _e; }
+  { auto _e = chunks(); _o->chunks = _e; }
 }
 
 inline flatbuffers::Offset<dedup_sync> dedup_sync::Pack(flatbuffers::FlatBufferBuilder &_fbb, const dedup_syncT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5983,6 +6348,12 @@
   auto _blind_age_ms = _o->blind_age_ms;
   auto _last = _o->last;
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::dedup_record>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return Creatededup_record(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _sighted_through = _o->sighted_through;
+  auto _groups = _o->groups.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::dedup_group>> (_o->groups.size(), [](size_t i, _VectorArgs *__va) { return Creatededup_group(*__va->__fbb, __va->__o->groups[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _hand_over = _o->hand_over;
+  auto _round = _o->round;
+  auto _chunk = _o->chunk;
+  auto _chunks = _o->chunks;
   return skylarkhoist::fbs::Creatededup_sync(
       _fbb,
       _shard,
@@ -5990,7 +6361,13 @@
       _request,
       _blind_age_ms,
       _last,
-      _records);
+      _records,
+      _sighted_through,
+      _groups,
+      _hand_over,
+      _round,
+      _chunk,
+      _chunks);
 }
 
 
