--- a/kernel/http.cc
+++ b/kernel/http.cc
@@ -15,6 +15,15 @@
   return nullptr;
 }
 
+void http_headers::Remove(std::string_view name) {
+  const auto matches = [name](const auto& item) {
+    return item.first.size() == name.size() &&
+           strncasecmp(item.first.data(), name.data(), name.size()) == 0;
+  };
+  items_.erase(std::remove_if(items_.begin(), items_.end(), matches),
+               items_.end());
+}
+
 void http_headers::RemovePrefix(std::string_view prefix) {
   const auto matches = [prefix](const auto& item) {
     return item.first.size() >= prefix.size() &&
--- a/kernel/http.h
+++ b/kernel/http.h
@@ -18,6 +18,8 @@
   // Returns the first value of `name`, or null.
   const std::string* Find(std::string_view name) const;
 
+  void Remove(std::string_view name);
+
   // Removes all fields whose name begins with `prefix`.
   void RemovePrefix(std::string_view prefix);
 
--- a/kernel/log.cc
+++ b/kernel/log.cc
@@ -49,14 +49,16 @@
     std::string_view component,
     std::string_view event,
     std::initializer_list<std::pair<std::string_view, std::string>> fields) {
-  LOG(INFO) << FormatLine("info", component, event, fields);
+  if (g_format != log_format::kOff)
+    LOG(INFO) << FormatLine("info", component, event, fields);
 }
 
 void LogWarning(
     std::string_view component,
     std::string_view event,
     std::initializer_list<std::pair<std::string_view, std::string>> fields) {
-  LOG(WARNING) << FormatLine("warning", component, event, fields);
+  if (g_format != log_format::kOff)
+    LOG(WARNING) << FormatLine("warning", component, event, fields);
 }
 
 }  // namespace skylarkhoist
--- a/kernel/log.h
+++ b/kernel/log.h
@@ -8,7 +8,8 @@
 
 namespace skylarkhoist {
 
-enum class log_format { kJson, kPlain };
+// kOff drops all lines, for tests and measurements.
+enum class log_format { kJson, kPlain, kOff };
 
 // Chooses the form of log lines on standard error. Call once at start.
 void ConfigureLog(log_format format);
--- /dev/null
+++ b/node/call_types.cc
@@ -0,0 +1,117 @@
+#include "node/call_types.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdio>
+
+#include "kernel/json.h"
+#include "kernel/time.h"
+
+namespace skylarkhoist {
+
+std::unique_ptr<fbs::request_id> ToWire(const request_id& id) {
+  return std::make_unique<fbs::request_id>(id.incarnation, id.sequence);
+}
+
+request_id FromWire(const std::unique_ptr<fbs::request_id>& id) {
+  if (id == nullptr)
+    return {};
+  return {id->incarnation(), id->sequence()};
+}
+
+std::vector<std::unique_ptr<fbs::headerT>> ToWire(const http_headers& headers) {
+  std::vector<std::unique_ptr<fbs::headerT>> items;
+  items.reserve(headers.items().size());
+  for (const auto& [name, value] : headers.items()) {
+    auto item = std::make_unique<fbs::headerT>();
+    item->name = name;
+    item->value = value;
+    items.push_back(std::move(item));
+  }
+  return items;
+}
+
+http_headers FromWire(
+    const std::vector<std::unique_ptr<fbs::headerT>>& headers) {
+  http_headers items;
+  for (const auto& item : headers) {
+    if (item != nullptr)
+      items.Add(item->name, item->value);
+  }
+  return items;
+}
+
+uint64_t BodyChecksum(const std::vector<uint8_t>& body) {
+  return XXH64(body.data(), body.size(), 0);
+}
+
+fbs::call_answerT MakeRefusal(const request_id& id,
+                              reason why,
+                              bool local,
+                              fbs::ran_state ran) {
+  fbs::call_answerT answer;
+  answer.id = ToWire(id);
+  answer.outcome = ran == fbs::ran_state::kNo ? fbs::outcome::kRefused
+                                              : fbs::outcome::kFailed;
+  answer.ran = ran;
+  answer.reason = static_cast<uint8_t>(why);
+  answer.local = local;
+  answer.body_checksum = BodyChecksum(answer.body);
+  return answer;
+}
+
+std::string ToText(const request_id& id) {
+  char text[40];
+  std::snprintf(text, sizeof(text), "%016llx-%llx",
+                static_cast<unsigned long long>(id.incarnation),
+                static_cast<unsigned long long>(id.sequence));
+  return text;
+}
+
+std::string_view ToText(fbs::ran_state ran) {
+  switch (ran) {
+    case fbs::ran_state::kNo:
+      return "no";
+    case fbs::ran_state::kYes:
+      return "yes";
+    case fbs::ran_state::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+http_response MakeErrorResponse(const request_id& id,
+                                reason why,
+                                fbs::ran_state ran,
+                                duration retry_after) {
+  const reason_info& info = InfoOf(why);
+  const std::string label(info.label);
+  const std::string ran_text(ToText(ran));
+  http_response response;
+  response.status = info.status;
+  response.headers.Add("Content-Type", "application/json");
+  response.headers.Add("Skylark-Ran", ran_text);
+  response.headers.Add("Skylark-Reason", label);
+  response.headers.Add("Skylark-Request-Id", ToText(id));
+  if (info.retry_after) {
+    const int64_t seconds =
+        std::max<int64_t>(1, (ToMilliseconds(retry_after) + 999) / 1000);
+    response.headers.Add("Retry-After", std::to_string(seconds));
+  }
+  response.body =
+      json{{"reason", label}, {"ran", ran_text}, {"request_id", ToText(id)}}
+          .dump();
+  return response;
+}
+
+reason_counters::reason_counters(metrics* counters,
+                                 std::string_view name,
+                                 std::string_view help) {
+  for (size_t i = 0; i < static_cast<size_t>(reason::kCount); ++i) {
+    const std::string label(InfoOf(static_cast<reason>(i)).label);
+    counters_.push_back(&counters->Counter(name, help, {{"reason", label}}));
+  }
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/node/entry.cc
@@ -0,0 +1,698 @@
+#include "node/entry.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "decisions/api_key.h"
+
+namespace skylarkhoist {
+namespace {
+
+constexpr std::string_view kOwnHeaderPrefix = "Skylark-";
+constexpr std::string_view kBearerPrefix = "Bearer ";
+
+// Load reports of single targets are used for routing this long.
+constexpr duration kLoadReportAge = std::chrono::seconds(2);
+
+// Fields that belong to one connection and are not passed on.
+constexpr std::string_view kConnectionHeaders[] = {
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+    "Host",       "TE",         "Upgrade",           "Authorization"};
+
+void RemoveOwnAndConnectionHeaders(http_headers* headers) {
+  headers->RemovePrefix(kOwnHeaderPrefix);
+  for (const std::string_view name : kConnectionHeaders)
+    headers->Remove(name);
+}
+
+std::optional<duration> ParseDeadline(const http_headers& headers) {
+  const std::string* text = headers.Find("Skylark-Deadline-Ms");
+  if (text == nullptr)
+    return std::nullopt;
+  int64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text->data(), text->data() + text->size(), value);
+  if (error != std::errc() || end != text->data() + text->size() || value < 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(std::min<int64_t>(value, 3'600'000));
+}
+
+uint64_t Fingerprint(const std::string& customer,
+                     const std::string& route,
+                     const std::string& body) {
+  const uint64_t seed = XXH64(customer.data(), customer.size(), 0);
+  const uint64_t with_route = XXH64(route.data(), route.size(), seed);
+  return XXH64(body.data(), body.size(), with_route);
+}
+
+bool HasEnded(link_down_cause cause) {
+  return cause == link_down_cause::kRefused ||
+         cause == link_down_cause::kReplaced;
+}
+
+}  // namespace
+
+entry::entry(loop* loop,
+             peer_transport* transport,
+             membership* members,
+             context_tokens* contexts,
+             random_source* random,
+             entry_options options,
+             metrics* counters)
+    : loop_(loop),
+      transport_(transport),
+      members_(members),
+      contexts_(contexts),
+      random_(random),
+      options_(std::move(options)),
+      config_(std::make_shared<config_view>()),
+      routing_(routing_registry::Create(options_.routing)),
+      ended_(counters,
+             "skylarkhoist_requests_total",
+             "Requests at their entry node by how they ended"),
+      retries_(counters,
+               "skylarkhoist_retries_total",
+               "Retries by the refusal that caused them"),
+      late_answers_(
+          counters->Counter("skylarkhoist_late_answers_total",
+                            "Answers that match no open call; dropped")),
+      damaged_answers_(
+          counters->Counter("skylarkhoist_damaged_answers_total",
+                            "Answers with a wrong length or checksum")) {}
+
+entry::~entry() {
+  for (auto& [number, opened] : calls_) {
+    loop_->Cancel(opened->deadline_timer);
+    loop_->Cancel(opened->query_timer);
+  }
+}
+
+void entry::SetConfig(std::shared_ptr<const config_view> config) {
+  config_ = std::move(config);
+}
+
+entry::call* entry::FindCall(entry_call_id number) {
+  const auto found = calls_.find(number);
+  return found == calls_.end() ? nullptr : found->second.get();
+}
+
+entry_call_id entry::Open(http_request request,
+                          reply_callback reply,
+                          call** opened) {
+  const uint64_t sequence = next_sequence_++;
+  auto created = std::make_unique<call>();
+  created->number = sequence;
+  created->id = {options_.incarnation, sequence};
+  created->request = std::move(request);
+  created->reply = std::move(reply);
+  created->credit = options_.retry_credit;
+  *opened = created.get();
+  calls_.emplace(sequence, std::move(created));
+  return sequence;
+}
+
+entry_call_id entry::HandlePublic(http_request request, reply_callback reply) {
+  call* opened = nullptr;
+  const entry_call_id number =
+      Open(std::move(request), std::move(reply), &opened);
+  if (!accepting_) {
+    FinishError(opened, reason::kDraining, fbs::ran_state::kNo);
+    return number;
+  }
+  if (const auto refused = Authenticate(opened)) {
+    FinishError(opened, *refused, fbs::ran_state::kNo);
+    return number;
+  }
+  AcquireRate(number);
+  return number;
+}
+
+// Finds the route and, unless it is open, the customer behind the key.
+std::optional<reason> entry::Authenticate(call* opened) {
+  http_request& request = opened->request;
+  const route_config* route = config_->FindRoute(request.method, request.path);
+  if (route == nullptr)
+    return config_->offset == 0 ? reason::kConfigStale : reason::kNoRoute;
+  if (route->access == route_access::kKeyed) {
+    if (fresh_ && !fresh_())
+      return reason::kConfigStale;
+    const std::string* field = request.headers.Find("Authorization");
+    if (field == nullptr ||
+        field->compare(0, kBearerPrefix.size(), kBearerPrefix) != 0)
+      return reason::kKeyMissing;
+    const auto parsed =
+        ParseKey(std::string_view(*field).substr(kBearerPrefix.size()));
+    if (!parsed)
+      return reason::kKeyUnknown;
+    const auto key = config_->keys.find(parsed->id);
+    if (key == config_->keys.end() ||
+        !SecretMatches(parsed->secret, key->second.secret_sha256))
+      return reason::kKeyUnknown;
+    if (key->second.withdrawn)
+      return reason::kKeyWithdrawn;
+    const auto customer = config_->customers.find(key->second.customer);
+    if (customer == config_->customers.end() || !customer->second.enabled)
+      return reason::kCustomerDisabled;
+    opened->key_id = parsed->id;
+    opened->customer = key->second.customer;
+    opened->weight = customer->second.weight;
+  }
+  return Prepare(opened, *route);
+}
+
+// Reads what the request says of itself and strips what must not reach a target.
+std::optional<reason> entry::Prepare(call* opened, const route_config& route) {
+  http_headers& headers = opened->request.headers;
+  opened->route = route.name;
+  opened->service = route.service;
+  opened->rank = route.rank;
+  opened->repeatable = route.repeatable;
+  const auto service = config_->services.find(route.service);
+  duration allowed = options_.default_deadline;
+  if (service != config_->services.end())
+    allowed = std::min(allowed, service->second.call_timeout);
+  if (headers.Find("Skylark-Deadline-Ms") != nullptr) {
+    const auto asked = ParseDeadline(headers);
+    if (!asked)
+      return reason::kBadRequest;
+    allowed = std::min(allowed, *asked);
+  }
+  const time_point deadline = loop_->Now() + allowed;
+  opened->deadline = opened->parent_token.empty()
+                         ? deadline
+                         : std::min(deadline, opened->deadline);
+  if (const std::string* key = headers.Find("Idempotency-Key")) {
+    if (key->empty() || key->size() > 255)
+      return reason::kBadRequest;
+    opened->idempotency_key = *key;
+  }
+  opened->fingerprint =
+      Fingerprint(opened->customer, route.name, opened->request.body);
+  RemoveOwnAndConnectionHeaders(&headers);
+  const entry_call_id number = opened->number;
+  opened->deadline_timer =
+      loop_->RunAfter(opened->deadline + options_.deadline_grace - loop_->Now(),
+                      [this, number] { OnDeadline(number); });
+  return std::nullopt;
+}
+
+entry_call_id entry::HandleChild(http_request request, reply_callback reply) {
+  call* opened = nullptr;
+  const entry_call_id number =
+      Open(std::move(request), std::move(reply), &opened);
+  const std::string* token = opened->request.headers.Find("Skylark-Context");
+  call_context* parent = token == nullptr ? nullptr : contexts_->Find(*token);
+  if (parent == nullptr) {
+    FinishError(opened, reason::kContextInvalid, fbs::ran_state::kNo);
+    return number;
+  }
+  opened->parent_token = *token;
+  opened->lent = parent->credit.LendShare();
+  opened->credit = opened->lent;
+  if (child_callback_)
+    child_callback_(parent->parent);
+  opened->customer = parent->customer;
+  opened->key_id = parent->key_id;
+  opened->weight = parent->weight;
+  opened->deadline = parent->deadline;
+  opened->depth = parent->depth + 1;
+  opened->admitted = true;
+  const priority_class rank = parent->rank;
+  const route_config* route =
+      config_->FindRoute(opened->request.method, opened->request.path);
+  std::optional<reason> refused;
+  if (route == nullptr)
+    refused = reason::kNoRoute;
+  else if (opened->depth > options_.max_depth)
+    refused = reason::kBadRequest;
+  else
+    refused = Prepare(opened, *route);
+  // The chain counts as its most important part: a child never ranks below its parent.
+  opened->rank = std::max(opened->rank, rank);
+  if (refused) {
+    FinishError(opened, *refused, fbs::ran_state::kNo);
+    return number;
+  }
+  // The rate counts whole requests of a customer; a child call belongs to its parent's token.
+  CheckAdmission(number);
+  return number;
+}
+
+void entry::AcquireRate(entry_call_id number) {
+  call* opened = FindCall(number);
+  if (opened->customer.empty() || !acquire_ ||
+      config_->rates.count(opened->customer) == 0) {
+    CheckAdmission(number);
+    return;
+  }
+  acquire_(opened->customer, opened->deadline,
+                  [this, number](reason result) {
+                    call* waiting = FindCall(number);
+                    if (waiting == nullptr)
+                      return;
+                    if (result != reason::kOk)
+                      FinishError(waiting, result, fbs::ran_state::kNo);
+                    else
+                      CheckAdmission(number);
+                  });
+}
+
+// Refuses at once what would fail later in its chain.
+void entry::CheckAdmission(entry_call_id number) {
+  call* opened = FindCall(number);
+  const auto service = config_->services.find(opened->service);
+  if (service == config_->services.end() || !service->second.in_service) {
+    FinishError(opened, reason::kNoTarget, fbs::ran_state::kNo);
+    return;
+  }
+  const auto refused =
+      admission_.Check(opened->service, service->second.calls, opened->rank,
+                       opened->admitted, loop_->Now(), *random_);
+  if (refused) {
+    FinishError(opened, *refused, fbs::ran_state::kNo);
+    return;
+  }
+  ClaimKey(number);
+}
+
+// A request that may not be repeated needs its idempotency key before it may
+// run.
+void entry::ClaimKey(entry_call_id number) {
+  call* opened = FindCall(number);
+  if (opened->caller_gone) {
+    FinishError(opened, reason::kCallerGone, fbs::ran_state::kNo);
+    return;
+  }
+  if (opened->repeatable || opened->idempotency_key.empty() ||
+      dedup_ == nullptr) {
+    Dispatch(number);
+    return;
+  }
+  dedup_->Claim(opened->customer, opened->idempotency_key, opened->id,
+                opened->deadline, [this, number](const dedup_decision& made) {
+                  OnClaim(number, made);
+                });
+}
+
+void entry::OnClaim(entry_call_id number, const dedup_decision& decision) {
+  call* opened = FindCall(number);
+  if (opened == nullptr)
+    return;
+  switch (decision.verdict) {
+    case dedup_verdict::kRun:
+      opened->claimed = true;
+      opened->claim_until = decision.valid_until;
+      Dispatch(number);
+      return;
+    case dedup_verdict::kAnswered:
+      if (IsIntact(*decision.answer))
+        FinishAnswered(opened, *decision.answer);
+      else
+        FinishError(opened, reason::kDuplicateUnknown,
+                    fbs::ran_state::kUnknown);
+      return;
+    case dedup_verdict::kUnknown:
+      FinishError(opened, reason::kDuplicateUnknown, fbs::ran_state::kUnknown);
+      return;
+    case dedup_verdict::kUnavailable:
+      FinishError(opened, reason::kDedupUnavailable, fbs::ran_state::kNo);
+      return;
+  }
+}
+
+void entry::Dispatch(entry_call_id number) {
+  call* opened = FindCall(number);
+  if (opened->caller_gone) {
+    FinishError(opened, reason::kCallerGone, fbs::ran_state::kNo);
+    return;
+  }
+  if (opened->deadline <= loop_->Now()) {
+    FinishError(opened, reason::kDeadlineBeforeRun, fbs::ran_state::kNo);
+    return;
+  }
+  // The process may have been paused since the claim was granted.
+  if (opened->claim_until <= loop_->Now()) {
+    FinishError(opened, reason::kDedupUnavailable, fbs::ran_state::kNo);
+    return;
+  }
+  const std::vector<route_candidate> candidates = Candidates(*opened);
+  const auto chosen = routing_->Pick(candidates, loop_->Now(), *random_);
+  if (!chosen) {
+    FinishError(opened, opened->last_refusal, fbs::ran_state::kNo);
+    return;
+  }
+  SendAttempt(opened, candidates[*chosen]);
+}
+
+std::vector<route_candidate> entry::Candidates(const call& opened) {
+  std::vector<route_candidate> candidates;
+  const time_point now = loop_->Now();
+  for (const member_target& target : members_->TargetsOf(opened.service)) {
+    if (!target.reachable || config_->zones_out.count(target.zone) > 0 ||
+        opened.tried.count(target.peer_address) > 0)
+      continue;
+    route_candidate candidate;
+    candidate.node_address = target.peer_address;
+    candidate.node_incarnation = target.incarnation;
+    candidate.same_zone = target.zone == options_.zone;
+    candidate.load_permille = target.load_permille;
+    candidate.load_at = target.load_at;
+    candidate.limit = target.limit;
+    candidate.seen_since = target.seen_since;
+    const auto key = std::make_pair(target.peer_address, opened.service);
+    const auto report = loads_.find(key);
+    if (report != loads_.end() && report->second.at + kLoadReportAge > now) {
+      candidate.load_permille = report->second.permille;
+      candidate.load_at = report->second.at;
+    }
+    const auto open = open_by_target_.find(key);
+    candidate.open_calls = open == open_by_target_.end() ? 0 : open->second;
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+void entry::SendAttempt(call* opened, const route_candidate& target) {
+  const time_point now = loop_->Now();
+  retry_budget& budget = budgets_[opened->service];
+  if (opened->tried.empty())
+    budget.OnFirstAttempt(now);
+  attempt current;
+  current.id = {options_.incarnation, next_sequence_++};
+  current.address = target.node_address;
+  current.service = opened->service;
+  const auto link = links_.find(target.node_address);
+  current.incarnation = link == links_.end() ? 0 : link->second;
+
+  fbs::call_requestT message;
+  message.id = ToWire(current.id);
+  message.service = opened->service;
+  message.customer = opened->customer;
+  message.key_id = opened->key_id;
+  message.priority_class = static_cast<uint8_t>(opened->rank);
+  message.admitted = opened->admitted;
+  message.repeatable = opened->repeatable;
+  message.weight_permille = static_cast<uint32_t>(opened->weight * 1000);
+  message.deadline_left_ms =
+      static_cast<uint32_t>(ToMilliseconds(opened->deadline - now));
+  message.credit = static_cast<uint8_t>(opened->credit);
+  message.depth = static_cast<uint8_t>(opened->depth);
+  message.fingerprint = opened->fingerprint;
+  message.method = opened->request.method;
+  message.path = opened->request.path;
+  message.headers = ToWire(opened->request.headers);
+  message.body.assign(opened->request.body.begin(),
+                      opened->request.body.end());
+  message.body_checksum = BodyChecksum(message.body);
+
+  opened->tried.insert(target.node_address);
+  attempts_.emplace(current.id, opened->number);
+  ++open_by_target_[{current.address, current.service}];
+  opened->current = std::move(current);
+  transport_->Send(target.node_address, Envelope(std::move(message)));
+}
+
+void entry::EndAttempt(call* opened) {
+  if (!opened->current)
+    return;
+  attempts_.erase(opened->current->id);
+  const auto open =
+      open_by_target_.find({opened->current->address, opened->current->service});
+  if (open != open_by_target_.end() && --open->second == 0)
+    open_by_target_.erase(open);
+  opened->current.reset();
+  loop_->Cancel(opened->query_timer);
+  opened->query_timer = 0;
+}
+
+bool entry::IsIntact(const fbs::call_answerT& answer) const {
+  return answer.total_length == answer.body.size() &&
+         answer.body_checksum == BodyChecksum(answer.body);
+}
+
+void entry::HandleAnswer(const peer_info& from,
+                         const fbs::call_answerT& answer) {
+  const time_point now = loop_->Now();
+  for (const auto& level : answer.loads) {
+    if (level != nullptr)
+      admission_.OnLoad(level->service, level->permille, now);
+  }
+  const auto found = attempts_.find(FromWire(answer.id));
+  call* opened = found == attempts_.end() ? nullptr : FindCall(found->second);
+  if (opened == nullptr || opened->current->address != from.address) {
+    late_answers_.Increment();
+    return;
+  }
+  if (!answer.loads.empty() && answer.loads.front() != nullptr)
+    loads_[{from.address, opened->service}] = {answer.loads.front()->permille,
+                                               now};
+  opened->credit = std::min<int>(opened->credit, answer.credit_left);
+  EndAttempt(opened);
+  if (!IsIntact(answer)) {
+    damaged_answers_.Increment();
+    FinishError(opened, reason::kAnswerDamaged, fbs::ran_state::kUnknown);
+    return;
+  }
+  switch (answer.outcome) {
+    case fbs::outcome::kAnswered:
+      FinishAnswered(opened, answer);
+      return;
+    case fbs::outcome::kRefused:
+      OnRefused(opened, ReasonFromWire(answer.reason), answer.local);
+      return;
+    case fbs::outcome::kNone:
+    case fbs::outcome::kFailed:
+      FinishError(opened, ReasonFromWire(answer.reason), answer.ran);
+      return;
+  }
+}
+
+void entry::OnRefused(call* opened, reason why, bool local) {
+  opened->last_refusal = why;
+  if (!local || opened->caller_gone || !MayRetry(opened, why)) {
+    FinishError(opened, why, fbs::ran_state::kNo);
+    return;
+  }
+  retries_.Increment(why);
+  Dispatch(opened->number);
+}
+
+// Spends one credit of the chain and one of the service's budget. Retries after a target or node
+// that takes no calls at all do not add load, so they need no budget.
+bool entry::MayRetry(call* opened, reason why) {
+  if (opened->credit <= 0)
+    return false;
+  const bool target_absent = why == reason::kNoTarget ||
+                             why == reason::kDraining ||
+                             why == reason::kZoneOut;
+  if (!target_absent) {
+    const time_point now = loop_->Now();
+    const auto level = admission_.LevelOf(opened->service, now);
+    retry_budget& budget = budgets_[opened->service];
+    budget.SetOverloaded(level && *level >= admission::kTargetLoad);
+    if (!budget.TakeRetry(now))
+      return false;
+  }
+  --opened->credit;
+  return true;
+}
+
+void entry::FinishAnswered(call* opened, const fbs::call_answerT& answer) {
+  http_response response;
+  response.status = answer.status;
+  response.headers = FromWire(answer.headers);
+  RemoveOwnAndConnectionHeaders(&response.headers);
+  response.headers.Add("Skylark-Ran", "yes");
+  response.headers.Add("Skylark-Reason", "ok");
+  response.headers.Add("Skylark-Request-Id", ToText(opened->id));
+  response.body.assign(answer.body.begin(), answer.body.end());
+  if (opened->claimed)
+    ReportToDedup(*opened, fbs::outcome::kAnswered,
+                  std::make_shared<const fbs::call_answerT>(answer));
+  ended_.Increment(reason::kOk);
+  Finish(opened, response);
+}
+
+void entry::FinishError(call* opened, reason why, fbs::ran_state ran) {
+  ReportToDedup(*opened,
+                ran == fbs::ran_state::kNo ? fbs::outcome::kRefused
+                                           : fbs::outcome::kFailed,
+                nullptr);
+  ended_.Increment(why);
+  Finish(opened,
+         MakeErrorResponse(opened->id, why, ran, options_.retry_after));
+}
+
+void entry::ReportToDedup(const call& opened,
+                          fbs::outcome outcome,
+                          std::shared_ptr<const fbs::call_answerT> answer) {
+  if (opened.claimed)
+    dedup_->Finish(opened.customer, opened.idempotency_key, opened.id, outcome,
+                   std::move(answer));
+}
+
+// The only place where a request ends.
+void entry::Finish(call* opened, const http_response& response) {
+  EndAttempt(opened);
+  loop_->Cancel(opened->deadline_timer);
+  if (call_context* parent = contexts_->Find(opened->parent_token))
+    parent->credit.Return(opened->lent, opened->credit);
+  const auto found = calls_.find(opened->number);
+  const std::unique_ptr<call> ended = std::move(found->second);
+  calls_.erase(found);
+  if (!ended->caller_gone)
+    ended->reply(response);
+  if (calls_.empty() && drained_)
+    std::exchange(drained_, nullptr)();
+}
+
+void entry::HandleGone(entry_call_id id) {
+  call* opened = FindCall(id);
+  if (opened == nullptr || opened->caller_gone)
+    return;
+  opened->caller_gone = true;
+  if (!opened->current)
+    return;  // Ends when its rate token or claim arrives.
+  fbs::call_cancelT cancel;
+  cancel.id = ToWire(opened->current->id);
+  transport_->Send(opened->current->address, Envelope(std::move(cancel)));
+  // The result of a claimed request is still wanted: the caller may ask for it again.
+  if (!opened->claimed)
+    FinishError(opened, reason::kCallerGone, fbs::ran_state::kUnknown);
+}
+
+void entry::OnDeadline(entry_call_id number) {
+  call* opened = FindCall(number);
+  if (opened == nullptr)
+    return;
+  opened->deadline_timer = 0;
+  if (!opened->current) {
+    FinishError(opened, reason::kDeadlineBeforeRun, fbs::ran_state::kNo);
+    return;
+  }
+  fbs::call_cancelT cancel;
+  cancel.id = ToWire(opened->current->id);
+  transport_->Send(opened->current->address, Envelope(std::move(cancel)));
+  FinishError(opened, reason::kDeadlineDuringRun, fbs::ran_state::kUnknown);
+}
+
+void entry::OnLinkUp(const peer_info& peer) {
+  links_[peer.address] = peer.incarnation;
+  std::vector<entry_call_id> lost;
+  for (const auto& [id, number] : attempts_) {
+    call* opened = FindCall(number);
+    if (opened->current->address != peer.address)
+      continue;
+    if (opened->current->incarnation == 0)
+      opened->current->incarnation = peer.incarnation;
+    else if (opened->current->incarnation != peer.incarnation)
+      lost.push_back(number);
+  }
+  for (const entry_call_id number : lost) {
+    if (call* opened = FindCall(number))
+      FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
+  }
+}
+
+void entry::OnLinkDown(const peer_info& peer, link_down_cause cause) {
+  links_.erase(peer.address);
+  std::vector<entry_call_id> affected;
+  for (const auto& [id, number] : attempts_) {
+    if (FindCall(number)->current->address == peer.address)
+      affected.push_back(number);
+  }
+  for (const entry_call_id number : affected) {
+    call* opened = FindCall(number);
+    // An earlier reply of this round may have ended the call.
+    if (opened == nullptr || !opened->current ||
+        opened->current->address != peer.address)
+      continue;
+    if (opened->current->incarnation == 0 && peer.incarnation == 0) {
+      // No link came up since the call was sent, so it never left this node.
+      EndAttempt(opened);
+      OnRefused(opened, reason::kNoTarget, true);
+    } else if (HasEnded(cause)) {
+      FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
+    } else if (opened->query_timer == 0) {
+      AskAgain(number);
+    }
+  }
+}
+
+// Asks the executor what became of an open call, until it answers or the deadline passes.
+void entry::AskAgain(entry_call_id number) {
+  call* opened = FindCall(number);
+  if (opened == nullptr || !opened->current)
+    return;
+  fbs::call_queryT query;
+  query.id = ToWire(opened->current->id);
+  opened->query_timer = loop_->RunAfter(options_.query_interval, [this, number] {
+    if (call* waiting = FindCall(number)) {
+      waiting->query_timer = 0;
+      AskAgain(number);
+    }
+  });
+  transport_->Send(opened->current->address, Envelope(std::move(query)));
+}
+
+void entry::HandleState(const peer_info& from, const fbs::call_stateT& state) {
+  const auto found = attempts_.find(FromWire(state.id));
+  call* opened = found == attempts_.end() ? nullptr : FindCall(found->second);
+  if (opened == nullptr || opened->current->address != from.address)
+    return;
+  if (opened->current->incarnation != 0 &&
+      opened->current->incarnation != from.incarnation) {
+    // Another run of the process knows nothing of the call; that proves nothing.
+    FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
+    return;
+  }
+  switch (state.stage) {
+    case fbs::call_stage::kNeverSeen:
+      // The executor refuses this id from now on, so the call has not run.
+      EndAttempt(opened);
+      OnRefused(opened, reason::kNoTarget, true);
+      return;
+    case fbs::call_stage::kQueued:
+    case fbs::call_stage::kRunning:
+      loop_->Cancel(opened->query_timer);
+      opened->query_timer = 0;
+      return;
+    case fbs::call_stage::kFinished:
+      if (state.answer != nullptr)
+        HandleAnswer(from, *state.answer);
+      else
+        FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
+      return;
+  }
+}
+
+std::vector<fbs::load_levelT> entry::DownstreamLoads(
+    const std::string& service) {
+  std::vector<fbs::load_levelT> levels;
+  const auto found = config_->services.find(service);
+  if (found == config_->services.end())
+    return levels;
+  for (const std::string& next : found->second.calls) {
+    const auto permille = admission_.LevelOf(next, loop_->Now());
+    if (!permille)
+      continue;
+    fbs::load_levelT level;
+    level.service = next;
+    level.permille = *permille;
+    levels.push_back(std::move(level));
+  }
+  return levels;
+}
+
+void entry::Drain(std::function<void()> drained) {
+  if (calls_.empty()) {
+    drained();
+    return;
+  }
+  drained_ = std::move(drained);
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/node/entry.h
@@ -0,0 +1,203 @@
+#ifndef NODE_ENTRY_H_
+#define NODE_ENTRY_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "decisions/admission.h"
+#include "decisions/config_view.h"
+#include "decisions/context_tokens.h"
+#include "decisions/retry_budget.h"
+#include "decisions/routing_policy.h"
+#include "kernel/loop.h"
+#include "kernel/random.h"
+#include "node/call_types.h"
+#include "node/dedup_service.h"
+#include "node/membership.h"
+#include "wire/peer_transport.h"
+
+namespace skylarkhoist {
+
+// Takes one token of `customer`, within the deadline, and reports reason::kOk
+// or why there is none. May call back at once.
+using rate_acquire = std::function<void(const std::string& customer,
+                                        time_point deadline,
+                                        std::function<void(reason)> done)>;
+
+struct entry_options {
+  uint64_t incarnation = 0;
+  std::string zone;
+  std::string routing = "least_loaded";
+  // Extra executions that one request may cause in its whole chain.
+  int retry_credit = 3;
+  duration default_deadline = std::chrono::seconds(10);
+  duration retry_after = std::chrono::seconds(1);
+  // Time after a deadline in which the executor's word is still waited for.
+  duration deadline_grace = std::chrono::milliseconds(100);
+  // Between two questions about an open call whose link failed.
+  duration query_interval = std::chrono::milliseconds(250);
+  int max_depth = 16;
+};
+
+// Identifies a request at its entry, for HandleGone.
+using entry_call_id = uint64_t;
+
+// The role that faces callers: authenticates, admits, chooses a target, follows the call to its one
+// outcome and answers. Child calls of local targets enter here as well, with a context token in
+// place of a key.
+class entry {
+ public:
+  entry(loop* loop,
+        peer_transport* transport,
+        membership* members,
+        context_tokens* contexts,
+        random_source* random,
+        entry_options options,
+        metrics* counters);
+  ~entry();
+  entry(const entry&) = delete;
+  entry& operator=(const entry&) = delete;
+
+  void SetConfig(std::shared_ptr<const config_view> config);
+  void SetDedupService(dedup_service* dedup) { dedup_ = dedup; }
+  void SetRateAcquire(rate_acquire acquire) { acquire_ = std::move(acquire); }
+  // Tells whether the configuration is fresh enough for keyed work.
+  void SetFreshness(std::function<bool()> fresh) { fresh_ = std::move(fresh); }
+
+  // Called with the parent's id for each child call.
+  void OnChildCall(std::function<void(const request_id&)> callback) {
+    child_callback_ = std::move(callback);
+  }
+
+  // A request from a caller. `reply` runs exactly once, unless HandleGone comes first.
+  entry_call_id HandlePublic(http_request request, reply_callback reply);
+
+  // A child call from a local target, with its context token.
+  entry_call_id HandleChild(http_request request, reply_callback reply);
+
+  // The caller has gone; its reply does not run any more.
+  void HandleGone(entry_call_id id);
+
+  void HandleAnswer(const peer_info& from, const fbs::call_answerT& answer);
+  void HandleState(const peer_info& from, const fbs::call_stateT& state);
+  void OnLinkUp(const peer_info& peer);
+  void OnLinkDown(const peer_info& peer, link_down_cause cause);
+
+  // Load levels of the services behind `service`, as this node saw them last.
+  std::vector<fbs::load_levelT> DownstreamLoads(const std::string& service);
+
+  // Refuses new requests from callers from now on. Child calls go on, since
+  // they belong to requests in progress.
+  void StopAccepting() { accepting_ = false; }
+
+  // Calls `drained` once no call is open.
+  void Drain(std::function<void()> drained);
+
+  size_t open_calls() const { return calls_.size(); }
+
+ private:
+  struct attempt {
+    request_id id;
+    std::string address;
+    std::string service;
+    // Incarnation of the executor that has the call; 0 while no link was up.
+    uint64_t incarnation = 0;
+  };
+  struct call {
+    entry_call_id number = 0;
+    request_id id;
+    http_request request;
+    reply_callback reply;
+    std::string service;
+    std::string route;
+    std::string customer;
+    std::string key_id;
+    std::string idempotency_key;
+    std::string parent_token;
+    priority_class rank = priority_class::kNormal;
+    double weight = 1.0;
+    bool admitted = false;
+    bool repeatable = true;
+    // Holds the claim on its idempotency key, usable until `claim_until`.
+    bool claimed = false;
+    time_point claim_until = time_point::max();
+    bool caller_gone = false;
+    int depth = 0;
+    int credit = 0;
+    // Part of the parent's credit that a child call took.
+    int lent = 0;
+    uint64_t fingerprint = 0;
+    time_point deadline;
+    std::optional<attempt> current;
+    std::set<std::string> tried;
+    reason last_refusal = reason::kNoTarget;
+    timer_id deadline_timer = 0;
+    timer_id query_timer = 0;
+  };
+  struct load_report {
+    uint32_t permille = 0;
+    time_point at;
+  };
+
+  entry_call_id Open(http_request request, reply_callback reply, call** opened);
+  call* FindCall(entry_call_id number);
+  std::optional<reason> Authenticate(call* opened);
+  std::optional<reason> Prepare(call* opened, const route_config& route);
+  void AcquireRate(entry_call_id number);
+  void CheckAdmission(entry_call_id number);
+  void ClaimKey(entry_call_id number);
+  void OnClaim(entry_call_id number, const dedup_decision& decision);
+  void Dispatch(entry_call_id number);
+  std::vector<route_candidate> Candidates(const call& opened);
+  void SendAttempt(call* opened, const route_candidate& target);
+  void EndAttempt(call* opened);
+  void OnRefused(call* opened, reason why, bool local);
+  bool MayRetry(call* opened, reason why);
+  void AskAgain(entry_call_id number);
+  void OnDeadline(entry_call_id number);
+  bool IsIntact(const fbs::call_answerT& answer) const;
+  void FinishAnswered(call* opened, const fbs::call_answerT& answer);
+  void FinishError(call* opened, reason why, fbs::ran_state ran);
+  void Finish(call* opened, const http_response& response);
+  void ReportToDedup(const call& opened,
+                     fbs::outcome outcome,
+                     std::shared_ptr<const fbs::call_answerT> answer);
+
+  loop* loop_;
+  peer_transport* transport_;
+  membership* members_;
+  context_tokens* contexts_;
+  random_source* random_;
+  entry_options options_;
+  std::shared_ptr<const config_view> config_;
+  rate_acquire acquire_;
+  dedup_service* dedup_ = nullptr;
+  std::function<bool()> fresh_;
+  std::function<void(const request_id&)> child_callback_;
+  admission admission_;
+  std::unique_ptr<routing_policy> routing_;
+  std::map<std::string, retry_budget> budgets_;
+  uint64_t next_sequence_ = 1;
+  std::unordered_map<entry_call_id, std::unique_ptr<call>> calls_;
+  std::unordered_map<request_id, entry_call_id, request_id_hash> attempts_;
+  // Incarnation behind each link that is up, by address.
+  std::map<std::string, uint64_t> links_;
+  std::map<std::pair<std::string, std::string>, load_report> loads_;
+  std::map<std::pair<std::string, std::string>, int> open_by_target_;
+  bool accepting_ = true;
+  std::function<void()> drained_;
+  reason_counters ended_;
+  reason_counters retries_;
+  prometheus::Counter& late_answers_;
+  prometheus::Counter& damaged_answers_;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // NODE_ENTRY_H_
--- /dev/null
+++ b/node/executor.cc
@@ -0,0 +1,709 @@
+#include "node/executor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace skylarkhoist {
+namespace {
+
+constexpr duration kParkedInterval = std::chrono::milliseconds(10);
+
+// Bytes that an answer takes in the cache beside its body, as a rough bound.
+constexpr size_t kAnswerOverhead = 512;
+
+suspect_notice FromWire(const fbs::suspectT& message) {
+  suspect_notice notice;
+  notice.service = message.service;
+  notice.fingerprint = message.fingerprint;
+  notice.status = static_cast<suspect_status>(message.state);
+  notice.deaths = message.deaths;
+  notice.time_left = std::chrono::milliseconds(message.time_left_ms);
+  return notice;
+}
+
+fbs::suspectT ToWire(const suspect_notice& notice) {
+  fbs::suspectT message;
+  message.service = notice.service;
+  message.fingerprint = notice.fingerprint;
+  message.state = static_cast<fbs::suspect_state>(notice.status);
+  message.deaths = static_cast<uint8_t>(notice.deaths);
+  message.time_left_ms =
+      static_cast<uint32_t>(ToMilliseconds(notice.time_left));
+  return message;
+}
+
+// A target refuses for load with 503 and Retry-After, before it does any work. A 503 after child
+// calls, or without Retry-After, is an answer like any other.
+bool IsShed(const target_result& result, bool made_child_calls) {
+  return result.error == target_error::kNone &&
+         result.response.status == 503 && !made_child_calls &&
+         result.response.headers.Find("Retry-After") != nullptr;
+}
+
+gate_result GateResultOf(const target_result& result, bool shed) {
+  if (shed)
+    return gate_result::kShed;
+  if (result.error == target_error::kNone && result.response.status < 500)
+    return gate_result::kSuccess;
+  return gate_result::kError;
+}
+
+}  // namespace
+
+executor::executor(loop* loop,
+                   peer_transport* transport,
+                   target_client* targets,
+                   random_source* random,
+                   executor_options options,
+                   metrics* counters)
+    : loop_(loop),
+      transport_(transport),
+      target_client_(targets),
+      options_(std::move(options)),
+      config_(std::make_shared<config_view>()),
+      contexts_(random),
+      ended_(counters,
+             "skylarkhoist_executions_total",
+             "Calls at the node beside their target by how they ended"),
+      handed_over_(counters->Counter("skylarkhoist_handed_over_total",
+                                     "Calls handed over to a target")),
+      duplicates_(counters->Counter("skylarkhoist_duplicate_calls_total",
+                                    "Calls that arrived a second time")),
+      damaged_(counters->Counter("skylarkhoist_damaged_calls_total",
+                                 "Calls with a wrong checksum")) {
+  announcement_timer_ =
+      loop_->RunAfter(std::chrono::seconds(1), [this] { CheckAnnouncements(); });
+}
+
+executor::~executor() {
+  loop_->Cancel(announcement_timer_);
+  loop_->Cancel(parked_timer_);
+  for (auto& [address, target] : targets_)
+    loop_->Cancel(target.pump_timer);
+  for (auto& [id, entry] : executions_) {
+    if (entry.running)
+      target_client_->Cancel(entry.target_call);
+  }
+}
+
+service_config executor::SettingsOf(const std::string& service) const {
+  const auto found = config_->services.find(service);
+  if (found != config_->services.end())
+    return found->second;
+  service_config fallback;
+  fallback.name = service;
+  return fallback;
+}
+
+void executor::SetConfig(std::shared_ptr<const config_view> config) {
+  config_ = std::move(config);
+  for (auto& [address, target] : targets_)
+    target.gate->UpdateSettings(SettingsOf(target.announced.service));
+  std::vector<std::string> addresses;
+  for (const auto& [address, target] : targets_)
+    addresses.push_back(address);
+  for (const std::string& address : addresses) {
+    if (!InService(targets_.at(address)))
+      EmptyQueue(address, reason::kNoTarget);
+  }
+  if (targets_changed_)
+    targets_changed_();
+}
+
+void executor::Announce(const target_announcement& announcement) {
+  const time_point now = loop_->Now();
+  auto [found, inserted] = targets_.try_emplace(announcement.address);
+  local_target& target = found->second;
+  const bool restarted =
+      inserted || target.down ||
+      target.announced.service != announcement.service ||
+      (target.announced.state != fbs::member_state::kServing &&
+       announcement.state == fbs::member_state::kServing);
+  const bool changed =
+      restarted || target.announced.state != announcement.state;
+  target.announced = announcement;
+  target.announced_at = now;
+  target.down = false;
+  if (inserted)
+    target.gate = std::make_unique<target_gate>(
+        SettingsOf(announcement.service), now);
+  else if (restarted)
+    target.gate->ResetCold(now);
+  if (!changed)
+    return;
+  LogStateChange("executor", "target_announced",
+                 {{"service", announcement.service},
+                  {"address", announcement.address},
+                  {"state", fbs::EnumNamemember_state(announcement.state)}});
+  if (!InService(target))
+    EmptyQueue(announcement.address, reason::kNoTarget);
+  if (targets_changed_)
+    targets_changed_();
+}
+
+bool executor::InService(const local_target& target) const {
+  if (target.down || target.announced.state != fbs::member_state::kServing)
+    return false;
+  const auto service = config_->services.find(target.announced.service);
+  return service == config_->services.end() ||
+         (service->second.in_service &&
+          service->second.targets_out.count(target.announced.address) == 0);
+}
+
+std::vector<fbs::target_entryT> executor::DescribeTargets() const {
+  std::vector<fbs::target_entryT> entries;
+  for (const auto& [address, target] : targets_) {
+    fbs::target_entryT entry;
+    entry.service = target.announced.service;
+    entry.address = address;
+    entry.state =
+        InService(target) ? fbs::member_state::kServing
+                          : std::max(target.announced.state,
+                                     fbs::member_state::kDraining);
+    entry.load_permille = target.gate->LoadPermille();
+    entry.limit = static_cast<uint32_t>(target.gate->limit());
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+// Drops targets that no longer announce themselves.
+void executor::CheckAnnouncements() {
+  const time_point oldest = loop_->Now() - options_.announcement_limit;
+  std::vector<std::string> silent;
+  for (const auto& [address, target] : targets_) {
+    if (target.announced_at < oldest)
+      silent.push_back(address);
+  }
+  for (const std::string& address : silent) {
+    MarkDown(address);
+    local_target& target = targets_.at(address);
+    if (target.gate->running() == 0 && !target.exclusive) {
+      loop_->Cancel(target.pump_timer);
+      targets_.erase(address);
+    }
+  }
+  if (!silent.empty() && targets_changed_)
+    targets_changed_();
+  announcement_timer_ =
+      loop_->RunAfter(std::chrono::seconds(1), [this] { CheckAnnouncements(); });
+}
+
+void executor::MarkDown(const std::string& address) {
+  local_target& target = targets_.at(address);
+  if (target.down)
+    return;
+  target.down = true;
+  LogStateChange(
+      "executor", "target_down",
+      {{"service", target.announced.service}, {"address", address}});
+  EmptyQueue(address, reason::kNoTarget);
+  if (targets_changed_)
+    targets_changed_();
+}
+
+void executor::EmptyQueue(const std::string& address, reason why) {
+  for (const request_id& id : targets_.at(address).gate->RemoveAll())
+    FinishRefused(id, why, true);
+}
+
+// What can forbid a run at any time: checked at arrival and again before hand-over.
+std::optional<reason> executor::CheckBeforeRun(const fbs::call_requestT& call,
+                                               time_point /*now*/) const {
+  if (config_->zones_out.count(options_.zone) > 0)
+    return reason::kZoneOut;
+  if (call.key_id.empty())
+    return std::nullopt;
+  const auto key = config_->keys.find(call.key_id);
+  // A node that has not seen the key yet trusts the entry; one that saw its withdrawal does not.
+  if (key != config_->keys.end() && key->second.withdrawn)
+    return reason::kKeyWithdrawn;
+  const auto customer = config_->customers.find(call.customer);
+  if (customer != config_->customers.end() && !customer->second.enabled)
+    return reason::kCustomerDisabled;
+  return std::nullopt;
+}
+
+executor::local_target* executor::ChooseTarget(const std::string& service) {
+  local_target* best = nullptr;
+  for (auto& [address, target] : targets_) {
+    if (target.announced.service != service || !InService(target))
+      continue;
+    if (best == nullptr ||
+        target.gate->LoadPermille() < best->gate->LoadPermille())
+      best = &target;
+  }
+  return best;
+}
+
+void executor::HandleCall(const peer_info& from,
+                          const fbs::call_requestT& call) {
+  const time_point now = loop_->Now();
+  const request_id id = skylarkhoist::FromWire(call.id);
+  switch (answers_.Arrive(id, now)) {
+    case call_arrival::kNew:
+      break;
+    case call_arrival::kDuplicate:
+      duplicates_.Increment();
+      return;
+    case call_arrival::kFenced:
+      transport_->Send(from.address, Envelope(MakeRefusal(
+                                         id, reason::kLinkLost, true)));
+      return;
+    case call_arrival::kForgotten:
+      transport_->Send(from.address,
+                       Envelope(MakeRefusal(id, reason::kLinkLost, false,
+                                            fbs::ran_state::kUnknown)));
+      return;
+  }
+  execution entry;
+  entry.id = id;
+  entry.origin = from;
+  entry.call = call;
+  entry.arrived = now;
+  entry.deadline = now + std::chrono::milliseconds(call.deadline_left_ms);
+  executions_.emplace(id, std::move(entry));
+  if (call.body_checksum != BodyChecksum(call.body)) {
+    damaged_.Increment();
+    FinishRefused(id, reason::kAnswerDamaged, true);
+    return;
+  }
+  if (draining_) {
+    FinishRefused(id, reason::kDraining, true);
+    return;
+  }
+  if (const auto why = CheckBeforeRun(call, now)) {
+    FinishRefused(id, *why, *why == reason::kZoneOut);
+    return;
+  }
+  const auto verdict = suspects_.Check(call.service, call.fingerprint, now);
+  if (verdict == suspect_verdict::kQuarantined)
+    FinishRefused(id, reason::kQuarantined, false);
+  else if (verdict == suspect_verdict::kNormal)
+    Enqueue(id);
+  else
+    Park(id);
+}
+
+void executor::Enqueue(const request_id& id) {
+  execution& entry = executions_.at(id);
+  local_target* target = ChooseTarget(entry.call.service);
+  if (target == nullptr) {
+    FinishRefused(id, reason::kNoTarget, true);
+    return;
+  }
+  gate_call waiting;
+  waiting.id = id;
+  waiting.rank = static_cast<priority_class>(std::min<uint8_t>(
+      entry.call.priority_class,
+      static_cast<uint8_t>(priority_class::kCritical)));
+  waiting.admitted = entry.call.admitted;
+  waiting.customer = entry.call.customer;
+  waiting.weight = entry.call.weight_permille / 1000.0;
+  waiting.deadline = entry.deadline;
+  entry.target = target->announced.address;
+  const std::string address = entry.target;
+  if (const auto why = target->gate->Enqueue(waiting, loop_->Now())) {
+    FinishRefused(id, *why, *why != reason::kDeadlineBeforeRun);
+    return;
+  }
+  Pump(address);
+}
+
+// Hands over what the gate lets through and refuses what it dropped.
+void executor::Pump(const std::string& address) {
+  const time_point now = loop_->Now();
+  const auto found = targets_.find(address);
+  if (found == targets_.end())
+    return;
+  local_target& target = found->second;
+  while (!target.exclusive && InService(target)) {
+    const auto next = target.gate->TakeNext(now);
+    if (!next)
+      break;
+    HandOver(&target, &executions_.at(next->id));
+  }
+  for (const gate_refusal& refusal : target.gate->TakeRefused(now))
+    FinishRefused(refusal.id, refusal.why,
+                  refusal.why != reason::kDeadlineBeforeRun);
+  SchedulePump(address);
+}
+
+void executor::SchedulePump(const std::string& address) {
+  local_target& target = targets_.at(address);
+  loop_->Cancel(target.pump_timer);
+  target.pump_timer = 0;
+  const auto next = target.gate->NextDeadline();
+  if (!next)
+    return;
+  target.pump_timer = loop_->RunAfter(*next - loop_->Now(), [this, address] {
+    const auto found = targets_.find(address);
+    if (found == targets_.end())
+      return;
+    found->second.pump_timer = 0;
+    Pump(address);
+  });
+}
+
+void executor::HandOver(local_target* target, execution* entry) {
+  const time_point now = loop_->Now();
+  const request_id id = entry->id;
+  auto refused = CheckBeforeRun(entry->call, now);
+  if (!refused && entry->deadline <= now)
+    refused = reason::kDeadlineBeforeRun;
+  if (refused) {
+    if (!entry->trial)
+      target->gate->OnFinished(id, gate_result::kCancelled, now);
+    FinishRefused(id, *refused, *refused == reason::kZoneOut);
+    return;
+  }
+  if (!entry->trial &&
+      suspects_.Check(entry->call.service, entry->call.fingerprint, now) !=
+          suspect_verdict::kNormal) {
+    target->gate->OnFinished(id, gate_result::kCancelled, now);
+    Park(id);
+    return;
+  }
+  call_context context;
+  context.parent = id;
+  context.customer = entry->call.customer;
+  context.key_id = entry->call.key_id;
+  context.deadline = entry->deadline;
+  context.credit = retry_credit(entry->call.credit);
+  context.rank = static_cast<priority_class>(entry->call.priority_class);
+  context.depth = entry->call.depth;
+  context.weight = entry->call.weight_permille / 1000.0;
+
+  http_request request;
+  request.method = entry->call.method;
+  request.path = entry->call.path;
+  request.headers = skylarkhoist::FromWire(entry->call.headers);
+  request.headers.Add("Skylark-Context", contexts_.Issue(std::move(context)));
+  request.headers.Add(
+      "Skylark-Deadline-Ms",
+      std::to_string(ToMilliseconds(entry->deadline - now)));
+  request.body.assign(entry->call.body.begin(), entry->call.body.end());
+
+  entry->running = true;
+  answers_.Start(id);
+  handed_over_.Increment();
+  entry->target_call = target_client_->Call(
+      target->announced.address, request, entry->deadline - now,
+      [this, id](const target_result& result) { OnResult(id, result); });
+}
+
+void executor::OnResult(const request_id& id, const target_result& result) {
+  const auto found = executions_.find(id);
+  if (found == executions_.end())
+    return;
+  execution& entry = found->second;
+  const std::string address = entry.target;
+  const bool shed = IsShed(result, entry.made_child_calls);
+  const bool not_run = shed || !result.may_have_run;
+  NoteEndOfRun(entry, result);
+  const auto target = targets_.find(address);
+  if (target != targets_.end()) {
+    if (!entry.trial)
+      target->second.gate->OnFinished(id, GateResultOf(result, shed),
+                                      loop_->Now());
+    else
+      target->second.exclusive.reset();
+    if (result.error == target_error::kConnectionLost)
+      target->second.gate->ResetCold(loop_->Now());
+    if (result.error == target_error::kConnectRefused)
+      MarkDown(address);
+  }
+  if (shed)
+    FinishRefused(id, reason::kShedByTarget, true);
+  else if (not_run)
+    FinishRefused(id, reason::kNoTarget, true);
+  else if (result.error == target_error::kNone)
+    FinishAnswered(&entry, result);
+  else if (result.error == target_error::kTimeout)
+    FinishFailed(id, reason::kDeadlineDuringRun);
+  else if (result.error == target_error::kConnectionLost)
+    FinishFailed(id, reason::kTargetLost);
+  else
+    FinishFailed(id, reason::kAnswerDamaged);
+  Pump(address);
+}
+
+// Tells the suspect tracker what the end of a run says about its request.
+void executor::NoteEndOfRun(const execution& ended,
+                            const target_result& result) {
+  const time_point now = loop_->Now();
+  const std::string& service = ended.call.service;
+  const uint64_t fingerprint = ended.call.fingerprint;
+  const bool died = result.error == target_error::kConnectionLost &&
+                    result.may_have_run;
+  if (died) {
+    TellSuspects(suspects_.OnTargetDeath(service, {fingerprint}, now));
+    return;
+  }
+  const bool survived = result.error == target_error::kNone;
+  std::optional<suspect_notice> notice;
+  if (ended.trial)
+    notice = suspects_.EndTrial(
+        service, fingerprint,
+        survived ? trial_end::kSurvived : trial_end::kInconclusive, now);
+  else if (survived)
+    notice = suspects_.OnSurvived(service, fingerprint);
+  if (notice)
+    TellSuspects({*notice});
+}
+
+void executor::TellSuspects(const std::vector<suspect_notice>& notices) {
+  for (const suspect_notice& notice : notices) {
+    if (suspect_callback_)
+      suspect_callback_(ToWire(notice));
+  }
+}
+
+void executor::HandleSuspect(const fbs::suspectT& suspect) {
+  if (suspects_.Merge(FromWire(suspect), loop_->Now()))
+    TryParked();
+}
+
+void executor::Park(const request_id& id) {
+  parked_.push_back(id);
+  if (parked_timer_ == 0)
+    parked_timer_ = loop_->RunAfter(duration::zero(), [this] {
+      parked_timer_ = 0;
+      TryParked();
+    });
+}
+
+// Goes through the suspects that wait: each is refused, queued like any other or tried alone.
+void executor::TryParked() {
+  const time_point now = loop_->Now();
+  const std::vector<request_id> waiting = std::exchange(parked_, {});
+  for (const request_id& id : waiting) {
+    const auto found = executions_.find(id);
+    if (found == executions_.end())
+      continue;
+    execution& entry = found->second;
+    if (entry.deadline <= now) {
+      FinishRefused(id, reason::kDeadlineBeforeRun, false);
+      continue;
+    }
+    switch (suspects_.Check(entry.call.service, entry.call.fingerprint, now)) {
+      case suspect_verdict::kNormal:
+        Enqueue(id);
+        continue;
+      case suspect_verdict::kQuarantined:
+        FinishRefused(id, reason::kQuarantined, false);
+        continue;
+      case suspect_verdict::kWait:
+        break;
+      case suspect_verdict::kTrialNeeded:
+        if (TryTrial(&entry))
+          continue;
+        break;
+    }
+    const duration bound = SettingsOf(entry.call.service).queue_bound;
+    if (entry.arrived + bound <= now)
+      FinishRefused(id, reason::kQueueTimeout, false);
+    else
+      parked_.push_back(id);
+  }
+  // Targets that were kept free for a call that is not parked any more.
+  for (auto& [address, target] : targets_) {
+    if (!target.exclusive)
+      continue;
+    const auto holder = executions_.find(*target.exclusive);
+    if (holder == executions_.end() ||
+        (!holder->second.trial &&
+         std::find(parked_.begin(), parked_.end(), *target.exclusive) ==
+             parked_.end())) {
+      target.exclusive.reset();
+      const std::string name = address;
+      loop_->RunAfter(duration::zero(), [this, name] { Pump(name); });
+    }
+  }
+  if (!parked_.empty() && parked_timer_ == 0)
+    parked_timer_ = loop_->RunAfter(kParkedInterval, [this] {
+      parked_timer_ = 0;
+      TryParked();
+    });
+}
+
+// Keeps a target free of other calls and runs the suspect once it is idle. Returns whether it was
+// handed over or refused.
+bool executor::TryTrial(execution* entry) {
+  local_target* target = nullptr;
+  for (auto& [address, candidate] : targets_) {
+    if (candidate.exclusive == entry->id)
+      target = &candidate;
+  }
+  if (target == nullptr) {
+    target = ChooseTarget(entry->call.service);
+    if (target == nullptr) {
+      FinishRefused(entry->id, reason::kNoTarget, true);
+      return true;
+    }
+    if (target->exclusive)
+      return false;
+    target->exclusive = entry->id;
+  }
+  if (target->gate->running() > 0)
+    return false;
+  const auto notice = suspects_.BeginTrial(
+      entry->call.service, entry->call.fingerprint, loop_->Now());
+  if (!notice)
+    return false;
+  TellSuspects({*notice});
+  entry->trial = true;
+  entry->target = target->announced.address;
+  const request_id id = entry->id;
+  HandOver(target, entry);
+  const auto still_open = executions_.find(id);
+  if (still_open == executions_.end()) {
+    target->exclusive.reset();
+    if (const auto ended = suspects_.EndTrial(
+            notice->service, notice->fingerprint, trial_end::kInconclusive,
+            loop_->Now()))
+      TellSuspects({*ended});
+  }
+  return true;
+}
+
+void executor::FinishAnswered(execution* entry, const target_result& result) {
+  fbs::call_answerT answer;
+  answer.id = skylarkhoist::ToWire(entry->id);
+  answer.outcome = fbs::outcome::kAnswered;
+  answer.ran = fbs::ran_state::kYes;
+  answer.reason = static_cast<uint8_t>(reason::kOk);
+  answer.status = static_cast<uint16_t>(result.response.status);
+  answer.headers = skylarkhoist::ToWire(result.response.headers);
+  answer.body.assign(result.response.body.begin(), result.response.body.end());
+  answer.total_length = answer.body.size();
+  answer.body_checksum = BodyChecksum(answer.body);
+  Finish(entry->id, std::move(answer));
+}
+
+void executor::FinishRefused(const request_id& id, reason why, bool local) {
+  Finish(id, MakeRefusal(id, why, local));
+}
+
+void executor::FinishFailed(const request_id& id, reason why) {
+  Finish(id, MakeRefusal(id, why, false, fbs::ran_state::kUnknown));
+}
+
+// The only place where an execution ends.
+void executor::Finish(request_id id, fbs::call_answerT answer) {
+  const auto found = executions_.find(id);
+  if (found == executions_.end())
+    return;
+  execution& entry = found->second;
+  answer.credit_left = entry.call.credit;
+  if (entry.running)
+    answer.credit_left =
+        static_cast<uint8_t>(contexts_.Revoke(id).credit.available());
+  fbs::load_levelT own;
+  own.service = entry.call.service;
+  const auto target = targets_.find(entry.target);
+  if (target != targets_.end()) {
+    own.permille = target->second.gate->LoadPermille();
+    answer.loads.push_back(std::make_unique<fbs::load_levelT>(own));
+  }
+  if (downstream_loads_) {
+    for (const fbs::load_levelT& level : downstream_loads_(own.service))
+      answer.loads.push_back(std::make_unique<fbs::load_levelT>(level));
+  }
+  ended_.Increment(ReasonFromWire(answer.reason));
+  const std::string origin = entry.origin.address;
+  executions_.erase(found);
+  const size_t bytes = answer.body.size() + kAnswerOverhead;
+  auto stored = std::make_shared<const fbs::call_answerT>(std::move(answer));
+  answers_.Finish(id, stored, bytes, loop_->Now());
+  transport_->Send(origin, Envelope(fbs::call_answerT(*stored)));
+  if (draining_ && executions_.empty() && drained_)
+    std::exchange(drained_, nullptr)();
+}
+
+void executor::HandleCancel(const fbs::call_cancelT& cancel) {
+  const request_id id = skylarkhoist::FromWire(cancel.id);
+  const auto found = executions_.find(id);
+  if (found == executions_.end())
+    return;
+  execution& entry = found->second;
+  const auto target = targets_.find(entry.target);
+  if (!entry.running) {
+    if (target != targets_.end())
+      target->second.gate->Remove(id);
+    FinishRefused(id, reason::kCallerGone, false);
+    return;
+  }
+  // A run that may not be repeated goes on, so that its result is known when the caller asks again.
+  if (!entry.call.repeatable)
+    return;
+  target_client_->Cancel(entry.target_call);
+  const std::string address = entry.target;
+  target_result cancelled;
+  cancelled.error = target_error::kTimeout;
+  NoteEndOfRun(entry, cancelled);
+  if (target != targets_.end()) {
+    if (entry.trial)
+      target->second.exclusive.reset();
+    else
+      target->second.gate->OnFinished(id, gate_result::kCancelled,
+                                      loop_->Now());
+  }
+  FinishFailed(id, reason::kCallerGone);
+  Pump(address);
+}
+
+void executor::HandleQuery(const peer_info& from,
+                           const fbs::call_queryT& query) {
+  const request_id id = skylarkhoist::FromWire(query.id);
+  const auto known = answers_.Query(id, loop_->Now());
+  fbs::call_stateT state;
+  state.id = skylarkhoist::ToWire(id);
+  switch (known.progress) {
+    case call_progress::kNeverSeen:
+      state.stage = fbs::call_stage::kNeverSeen;
+      break;
+    case call_progress::kQueued:
+      state.stage = fbs::call_stage::kQueued;
+      break;
+    case call_progress::kRunning:
+      state.stage = fbs::call_stage::kRunning;
+      break;
+    case call_progress::kFinished:
+    case call_progress::kForgotten:
+      // Finished without an answer tells the entry that the result is lost.
+      state.stage = fbs::call_stage::kFinished;
+      if (known.stored != nullptr)
+        state.answer = std::make_unique<fbs::call_answerT>(*known.stored);
+      break;
+  }
+  transport_->Send(from.address, Envelope(std::move(state)));
+}
+
+void executor::NoteChildCall(const request_id& parent) {
+  const auto found = executions_.find(parent);
+  if (found != executions_.end())
+    found->second.made_child_calls = true;
+}
+
+void executor::StopAccepting() {
+  draining_ = true;
+  std::vector<std::string> addresses;
+  for (const auto& [address, target] : targets_)
+    addresses.push_back(address);
+  for (const std::string& address : addresses)
+    EmptyQueue(address, reason::kDraining);
+  for (const request_id& id : std::exchange(parked_, {}))
+    FinishRefused(id, reason::kDraining, true);
+}
+
+void executor::Drain(std::function<void()> drained) {
+  if (executions_.empty())
+    drained();
+  else
+    drained_ = std::move(drained);
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/node/executor.h
@@ -0,0 +1,171 @@
+#ifndef NODE_EXECUTOR_H_
+#define NODE_EXECUTOR_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "decisions/answer_cache.h"
+#include "decisions/config_view.h"
+#include "decisions/context_tokens.h"
+#include "decisions/suspect_tracker.h"
+#include "decisions/target_gate.h"
+#include "kernel/loop.h"
+#include "kernel/random.h"
+#include "node/call_types.h"
+#include "wire/peer_transport.h"
+#include "wire/target_client.h"
+
+namespace skylarkhoist {
+
+// A target beside this node, as it announces itself.
+struct target_announcement {
+  std::string service;
+  std::string address;
+  fbs::member_state state = fbs::member_state::kServing;
+};
+
+struct executor_options {
+  std::string zone;
+  // A target is out of service when its last announcement is older than this: three missed
+  // announcements at one a second.
+  duration announcement_limit = std::chrono::seconds(3);
+};
+
+// The role beside the targets: queues calls, hands them to the local targets within what each bears,
+// and knows for each call whether it was handed over. Only this role talks to targets.
+class executor {
+ public:
+  executor(loop* loop,
+           peer_transport* transport,
+           target_client* targets,
+           random_source* random,
+           executor_options options,
+           metrics* counters);
+  ~executor();
+  executor(const executor&) = delete;
+  executor& operator=(const executor&) = delete;
+
+  void SetConfig(std::shared_ptr<const config_view> config);
+
+  // Targets announce themselves at least once a second.
+  void Announce(const target_announcement& announcement);
+
+  // The targets of this node for gossip.
+  std::vector<fbs::target_entryT> DescribeTargets() const;
+
+  void HandleCall(const peer_info& from, const fbs::call_requestT& call);
+  void HandleCancel(const fbs::call_cancelT& cancel);
+  void HandleQuery(const peer_info& from, const fbs::call_queryT& query);
+  void HandleSuspect(const fbs::suspectT& suspect);
+
+  // Notes that the call behind `token` made a child call.
+  void NoteChildCall(const request_id& parent);
+
+  // Refuses new and waiting calls, so that their entries try other nodes.
+  void StopAccepting();
+
+  // Calls `drained` once no call is running.
+  void Drain(std::function<void()> drained);
+
+  context_tokens& contexts() { return contexts_; }
+
+  // Called when the set or state of the targets changes.
+  void OnTargetsChanged(std::function<void()> callback) {
+    targets_changed_ = std::move(callback);
+  }
+  // Sends a suspect message to the peers that serve the same service.
+  void OnSuspect(std::function<void(const fbs::suspectT&)> callback) {
+    suspect_callback_ = std::move(callback);
+  }
+  // Load levels of the services behind `service`, to be carried back with answers.
+  void SetDownstreamLoads(
+      std::function<std::vector<fbs::load_levelT>(const std::string&)> loads) {
+    downstream_loads_ = std::move(loads);
+  }
+
+  size_t open_calls() const { return executions_.size(); }
+
+ private:
+  struct local_target {
+    target_announcement announced;
+    time_point announced_at;
+    std::unique_ptr<target_gate> gate;
+    // Connections were refused since the last announcement.
+    bool down = false;
+    // Set while a suspect waits for the target to be idle or runs on it.
+    std::optional<request_id> exclusive;
+    timer_id pump_timer = 0;
+  };
+  struct execution {
+    request_id id;
+    peer_info origin;
+    fbs::call_requestT call;
+    std::string target;
+    time_point deadline;
+    time_point arrived;
+    bool running = false;
+    // Runs alone as the trial of a suspect, outside of the gate.
+    bool trial = false;
+    bool made_child_calls = false;
+    target_call_id target_call = 0;
+  };
+  using target_map = std::map<std::string, local_target>;
+
+  service_config SettingsOf(const std::string& service) const;
+  bool InService(const local_target& target) const;
+  std::optional<reason> CheckBeforeRun(const fbs::call_requestT& call,
+                                       time_point now) const;
+  local_target* ChooseTarget(const std::string& service);
+  void Enqueue(const request_id& id);
+  void Pump(const std::string& address);
+  void SchedulePump(const std::string& address);
+  void Park(const request_id& id);
+  void TryParked();
+  bool TryTrial(execution* entry);
+  void HandOver(local_target* target, execution* entry);
+  void OnResult(const request_id& id, const target_result& result);
+  void FinishAnswered(execution* entry, const target_result& result);
+  void FinishRefused(const request_id& id, reason why, bool local);
+  void FinishFailed(const request_id& id, reason why);
+  // Takes the id by value, since the callers' copy may be part of the execution that ends here.
+  void Finish(request_id id, fbs::call_answerT answer);
+  void MarkDown(const std::string& address);
+  void EmptyQueue(const std::string& address, reason why);
+  void CheckAnnouncements();
+  void TellSuspects(const std::vector<suspect_notice>& notices);
+  void NoteEndOfRun(const execution& ended, const target_result& result);
+
+  loop* loop_;
+  peer_transport* transport_;
+  target_client* target_client_;
+  executor_options options_;
+  std::shared_ptr<const config_view> config_;
+  context_tokens contexts_;
+  suspect_tracker suspects_;
+  answer_cache<fbs::call_answerT> answers_;
+  target_map targets_;
+  std::unordered_map<request_id, execution, request_id_hash> executions_;
+  // Calls with suspect fingerprints that wait for their trial.
+  std::vector<request_id> parked_;
+  timer_id parked_timer_ = 0;
+  bool draining_ = false;
+  std::function<void()> drained_;
+  std::function<void()> targets_changed_;
+  std::function<void(const fbs::suspectT&)> suspect_callback_;
+  std::function<std::vector<fbs::load_levelT>(const std::string&)>
+      downstream_loads_;
+  timer_id announcement_timer_ = 0;
+  reason_counters ended_;
+  prometheus::Counter& handed_over_;
+  prometheus::Counter& duplicates_;
+  prometheus::Counter& damaged_;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // NODE_EXECUTOR_H_
--- /dev/null
+++ b/node/loopback_transport.h
@@ -0,0 +1,50 @@
+#ifndef NODE_LOOPBACK_TRANSPORT_H_
+#define NODE_LOOPBACK_TRANSPORT_H_
+
+#include <memory>
+#include <string>
+
+#include "kernel/loop.h"
+#include "wire/peer_transport.h"
+
+namespace skylarkhoist {
+
+// Passes messages that a node sends to itself through the loop and all others to the transport
+// below. So the roles need no special case for a target on their own machine.
+class loopback_transport : public peer_transport {
+ public:
+  loopback_transport(loop* loop, peer_transport* below, peer_info self)
+      : loop_(loop), below_(below), self_(std::move(self)) {}
+
+  // Announces the link to itself before any other event.
+  void Start(peer_observer* observer) override {
+    observer_ = observer;
+    below_->Start(observer);
+    observer_->OnLinkUp(self_);
+  }
+
+  void Send(const std::string& address,
+            const fbs::envelopeT& message) override {
+    if (address != self_.address) {
+      below_->Send(address, message);
+      return;
+    }
+    loop_->RunAfter(duration::zero(),
+                    [this, alive = std::weak_ptr<bool>(alive_),
+                     copy = std::make_shared<fbs::envelopeT>(message)] {
+                      if (!alive.expired())
+                        observer_->OnPeerMessage(self_, *copy);
+                    });
+  }
+
+ private:
+  loop* loop_;
+  peer_transport* below_;
+  peer_info self_;
+  peer_observer* observer_ = nullptr;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace skylarkhoist
+
+#endif  // NODE_LOOPBACK_TRANSPORT_H_
--- /dev/null
+++ b/node/node.cc
@@ -0,0 +1,371 @@
+#include "node/node.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace skylarkhoist {
+namespace {
+
+constexpr duration kHousekeepingInterval = std::chrono::seconds(1);
+
+membership_options MembershipOptions(const node_options& options) {
+  membership_options result;
+  result.node = options.name;
+  result.zone = options.zone;
+  result.peer_address = options.peer_address;
+  result.public_address = options.public_address;
+  result.incarnation = options.incarnation;
+  result.seeds = options.seeds;
+  return result;
+}
+
+executor_options ExecutorOptions(const node_options& options) {
+  executor_options result;
+  result.zone = options.zone;
+  return result;
+}
+
+entry_options EntryOptions(const node_options& options) {
+  entry_options result;
+  result.incarnation = options.incarnation;
+  result.zone = options.zone;
+  result.routing = options.routing;
+  return result;
+}
+
+config_follower_options FollowerOptions(const node_options& options) {
+  config_follower_options result;
+  result.peer_address = options.peer_address;
+  result.zone = options.zone;
+  result.author = options.name;
+  result.seed_peers = options.seeds;
+  return result;
+}
+
+dedup_options DedupOptions(const node_options& options) {
+  dedup_options result;
+  result.incarnation = options.incarnation;
+  result.address = options.peer_address;
+  return result;
+}
+
+peer_info SelfInfo(const node_options& options) {
+  return {options.peer_address, options.name, options.zone,
+          options.incarnation};
+}
+
+http_response JsonResponse(int status, const json& body) {
+  http_response response;
+  response.status = status;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = body.dump() + "\n";
+  return response;
+}
+
+http_response FindingsResponse(const findings& problems) {
+  json items = json::array();
+  for (const finding& item : problems.items())
+    items.push_back({{"place", item.place}, {"message", item.message}});
+  return JsonResponse(400, {{"findings", items}});
+}
+
+std::string StringField(const json& object,
+                        const char* name,
+                        findings* problems) {
+  const auto found = object.find(name);
+  if (found != object.end() && found->is_string() &&
+      !found->get_ref<const std::string&>().empty())
+    return found->get<std::string>();
+  problems->Add(std::string("/") + name, "must be a non-empty string");
+  return {};
+}
+
+}  // namespace
+
+node::node(node_options options, const node_parts& parts)
+    : options_(std::move(options)),
+      parts_(parts),
+      transport_(parts.run_loop, parts.transport, SelfInfo(options_)),
+      members_(parts.run_loop,
+               &transport_,
+               parts.random,
+               MembershipOptions(options_)),
+      executor_(parts.run_loop,
+                &transport_,
+                parts.targets,
+                parts.random,
+                ExecutorOptions(options_),
+                parts.counters),
+      entry_(parts.run_loop,
+             &transport_,
+             &members_,
+             &executor_.contexts(),
+             parts.random,
+             EntryOptions(options_),
+             parts.counters),
+      config_(
+          parts.run_loop,
+          parts.log,
+          &transport_,
+          parts.random,
+          FollowerOptions(options_),
+          [this] { return members_.LivePeers(); },
+          parts.counters),
+      dedup_(parts.run_loop,
+             &transport_,
+             DedupOptions(options_),
+             parts.wall,
+             parts.counters) {
+  entry_.SetDedupService(&dedup_);
+  config_.OnChange([this] { OnConfigChange(); });
+  members_.OnPeerOffset([this](const std::string& address, uint64_t offset) {
+    config_.NotePeerOffset(address, offset);
+  });
+  executor_.OnTargetsChanged(
+      [this] { members_.SetTargets(executor_.DescribeTargets()); });
+  executor_.OnSuspect(
+      [this](const fbs::suspectT& suspect) { SendToServicePeers(suspect); });
+  executor_.SetDownstreamLoads([this](const std::string& service) {
+    return entry_.DownstreamLoads(service);
+  });
+  entry_.SetFreshness([this] { return IsConfigFresh(); });
+  entry_.OnChildCall(
+      [this](const request_id& parent) { executor_.NoteChildCall(parent); });
+}
+
+node::~node() {
+  parts_.run_loop->Cancel(housekeeping_timer_);
+}
+
+void node::Start() {
+  transport_.Start(this);
+  members_.Start();
+  config_.Start();
+  housekeeping_timer_ = parts_.run_loop->RunAfter(kHousekeepingInterval,
+                                                  [this] { Housekeep(); });
+}
+
+void node::OnConfigChange() {
+  entry_.SetConfig(config_.view());
+  executor_.SetConfig(config_.view());
+  members_.SetRoster(config_.roster());
+  dedup_.SetRoster(config_.roster());
+  members_.SetAppliedOffset(config_.applied_offset());
+}
+
+bool node::IsConfigFresh() const {
+  return config_.ready() &&
+         (config_.log_age(parts_.run_loop->Now()) <=
+              options_.config_staleness ||
+          members_.HearsMajority());
+}
+
+// Joins the roster and keeps what gossip says of the local targets' load up to date.
+void node::Housekeep() {
+  members_.SetTargets(executor_.DescribeTargets());
+  const bool member = config_.roster().Find(options_.incarnation) != nullptr;
+  if (!member && !joining_ && !draining_ && config_.ready()) {
+    joining_ = true;
+    config_.AppendJoin({options_.name, options_.zone, options_.peer_address,
+                        options_.incarnation},
+                       [this](const append_result&) { joining_ = false; });
+  }
+  housekeeping_timer_ = parts_.run_loop->RunAfter(kHousekeepingInterval,
+                                                  [this] { Housekeep(); });
+}
+
+entry_call_id node::HandlePublic(http_request request, reply_callback reply) {
+  return entry_.HandlePublic(std::move(request), std::move(reply));
+}
+
+entry_call_id node::HandleLocal(http_request request, reply_callback reply) {
+  const std::string path = request.path.substr(0, request.path.find('?'));
+  if (path == "/v1/targets") {
+    reply(HandleAnnouncement(request));
+    return 0;
+  }
+  if (path == "/metrics" && request.method == "GET") {
+    http_response response;
+    response.status = 200;
+    response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    response.body = parts_.counters->ToText();
+    reply(response);
+    return 0;
+  }
+  if (path == "/v1/status" && request.method == "GET") {
+    reply(JsonResponse(200, Status()));
+    return 0;
+  }
+  return entry_.HandleChild(std::move(request), std::move(reply));
+}
+
+void node::HandleGone(entry_call_id id) {
+  entry_.HandleGone(id);
+}
+
+// POST announces a target, DELETE says that it leaves.
+http_response node::HandleAnnouncement(const http_request& request) {
+  const auto body = ParseJson(request.body);
+  if (!body)
+    return FindingsResponse(body.error());
+  findings problems;
+  if (!body->is_object()) {
+    problems.Add("/", "must be an object");
+    return FindingsResponse(problems);
+  }
+  target_announcement announcement;
+  announcement.service = StringField(*body, "service", &problems);
+  announcement.address = StringField(*body, "address", &problems);
+  const std::string state = request.method == "DELETE"
+                                ? "leaving"
+                                : body->value("state", json("serving")).is_string()
+                                      ? body->value("state", "serving")
+                                      : "";
+  if (state == "leaving")
+    announcement.state = fbs::member_state::kDraining;
+  else if (state != "serving")
+    problems.Add("/state", "must be \"serving\" or \"leaving\"");
+  if (!problems.empty())
+    return FindingsResponse(problems);
+  executor_.Announce(announcement);
+  return JsonResponse(200, {{"state", state}});
+}
+
+json node::Status() const {
+  const time_point now = parts_.run_loop->Now();
+  const duration age = config_.log_age(now);
+  json status;
+  status["node"] = options_.name;
+  status["zone"] = options_.zone;
+  status["peer_address"] = options_.peer_address;
+  status["draining"] = draining_;
+  status["config_offset"] = config_.applied_offset();
+  status["config_fresh"] = IsConfigFresh();
+  status["log_age_ms"] =
+      age == duration::max() ? json(nullptr) : json(ToMilliseconds(age));
+  status["roster_version"] = config_.roster().version;
+  status["roster_size"] = config_.roster().members.size();
+  status["open_requests"] = entry_.open_calls();
+  status["open_executions"] = executor_.open_calls();
+  json members = json::array();
+  for (const fbs::member_entryT& entry : members_.Entries()) {
+    json targets = json::array();
+    for (const auto& target : entry.targets) {
+      targets.push_back({{"service", target->service},
+                         {"address", target->address},
+                         {"state", fbs::EnumNamemember_state(target->state)},
+                         {"limit", target->limit},
+                         {"load_permille", target->load_permille}});
+    }
+    members.push_back({{"node", entry.node},
+                       {"zone", entry.zone},
+                       {"peer_address", entry.peer_address},
+                       {"public_address", entry.public_address},
+                       {"state", fbs::EnumNamemember_state(entry.state)},
+                       {"config_offset", entry.applied_offset},
+                       {"targets", targets}});
+  }
+  status["members"] = members;
+  return status;
+}
+
+void node::OnPeerMessage(const peer_info& from,
+                         const fbs::envelopeT& message) {
+  members_.NoteContact(from);
+  const fbs::payloadUnion& body = message.body;
+  if (const auto* call = body.Ascall_request())
+    executor_.HandleCall(from, *call);
+  else if (const auto* answer = body.Ascall_answer())
+    entry_.HandleAnswer(from, *answer);
+  else if (const auto* cancel = body.Ascall_cancel())
+    executor_.HandleCancel(*cancel);
+  else if (const auto* query = body.Ascall_query())
+    executor_.HandleQuery(from, *query);
+  else if (const auto* state = body.Ascall_state())
+    entry_.HandleState(from, *state);
+  else if (const auto* gossip = body.Asgossip())
+    members_.HandleGossip(from, *gossip);
+  else if (const auto* news = body.Asconfig_news())
+    config_.HandleNews(from.address, *news);
+  else if (const auto* request = body.Asconfig_request())
+    config_.HandleRequest(from.address, *request);
+  else if (const auto* whole = body.Asconfig_state())
+    config_.HandleState(from.address, *whole);
+  else if (const auto* suspect = body.Assuspect())
+    executor_.HandleSuspect(*suspect);
+  else if (const auto* beat = body.Asheartbeat())
+    OnHeartbeat(from, *beat);
+  else
+    dedup_.OnPeerMessage(from, message);
+}
+
+void node::OnHeartbeat(const peer_info& from, const fbs::heartbeatT& beat) {
+  config_.NotePeerOffset(from.address, beat.applied_offset);
+  dedup_.OnPeerVersion(from.incarnation, beat.roster_version);
+}
+
+void node::OnLinkUp(const peer_info& peer) {
+  if (peer.address != options_.peer_address)
+    members_.OnLinkUp(peer);
+  entry_.OnLinkUp(peer);
+}
+
+void node::OnLinkDown(const peer_info& peer, link_down_cause cause) {
+  members_.OnLinkDown(peer, cause);
+  entry_.OnLinkDown(peer, cause);
+  const bool process_ended = cause == link_down_cause::kRefused ||
+                             cause == link_down_cause::kReplaced;
+  if (process_ended)
+    dedup_.OnPeerGone(peer.address, peer.incarnation);
+}
+
+fbs::heartbeatT node::MakeHeartbeat() {
+  fbs::heartbeatT beat;
+  beat.counter = ++heartbeat_counter_;
+  beat.applied_offset = config_.applied_offset();
+  beat.roster_version = config_.roster().version;
+  return beat;
+}
+
+// A suspect must be known beside every target of its service before its caller can send it again.
+void node::SendToServicePeers(const fbs::suspectT& suspect) {
+  std::set<std::string> addresses;
+  for (const member_target& target : members_.TargetsOf(suspect.service))
+    addresses.insert(target.peer_address);
+  addresses.erase(options_.peer_address);
+  for (const std::string& address : addresses)
+    transport_.Send(address, Envelope(fbs::suspectT(suspect)));
+}
+
+void node::Drain(std::function<void()> drained) {
+  if (draining_)
+    return;
+  draining_ = true;
+  drained_ = std::move(drained);
+  LogStateChange("node", "draining", {{"node", options_.name}});
+  members_.SetDraining();
+  // Callers learn from refused connections or from other nodes that this one
+  // leaves; until then it serves them through the targets of the others.
+  parts_.run_loop->RunAfter(options_.drain_grace, [this] {
+    entry_.StopAccepting();
+    executor_.Drain([this] {
+      entry_.Drain([this] { dedup_.Drain([this] { FinishDrain(); }); });
+    });
+  });
+  executor_.StopAccepting();
+}
+
+void node::FinishDrain() {
+  members_.AnnounceGone();
+  config_.AppendLeave(options_.incarnation, [](const append_result&) {});
+  // Gives the last messages time to leave.
+  parts_.run_loop->RunAfter(std::chrono::milliseconds(200), [this] {
+    LogStateChange("node", "drained", {{"node", options_.name}});
+    std::exchange(drained_, nullptr)();
+  });
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/node/node_test.cc
@@ -0,0 +1,133 @@
+#include "node/node.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "testing/deployments.h"
+
+namespace skylarkhoist {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(node) {
+  // Sends one request and returns the response after at most `wait`.
+  static std::optional<http_response> Ask(
+      fleet & cluster, size_t machine, const http_request& request,
+      duration wait = seconds(2)) {
+    // Shared, since the response may come after this function returned.
+    auto answer = std::make_shared<std::optional<http_response>>();
+    cluster.Send(machine, request,
+                 [answer](const std::optional<http_response>& response) {
+                   *answer = response;
+                 });
+    cluster.Advance(wait);
+    return *answer;
+  }
+
+  static void CheckError(const std::optional<http_response>& response,
+                         int status, const char* reason) {
+    CHECK_TRUE(response.has_value());
+    CHECK_EQUAL(status, response->status);
+    STRCMP_EQUAL(reason, HeaderOf(*response, "Skylark-Reason").c_str());
+    STRCMP_EQUAL("no", HeaderOf(*response, "Skylark-Ran").c_str());
+  }
+};
+
+// Guards against a path that breaks anywhere between the caller and the target of a child call.
+TEST(node, AnswersAChainThroughAnyNode) {
+  fleet cluster(SmallDeployment(5), 1);
+  PublishSmallDeployment(&cluster, 2);
+  cluster.Advance(seconds(3));
+  for (size_t i = 0; i < cluster.size(); ++i) {
+    const auto response =
+        Ask(cluster, i, MakeRequest("POST", "/bookings/1", KeyOf(0), "x"));
+    CHECK_TRUE(response.has_value());
+    CHECK_EQUAL(200, response->status);
+    STRCMP_EQUAL("yes", HeaderOf(*response, "Skylark-Ran").c_str());
+  }
+}
+
+// Guards against requests that run without a valid key, and against answers that do not say why.
+TEST(node, RefusesWithoutAValidKey) {
+  fleet cluster(SmallDeployment(5), 1);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(seconds(3));
+  CheckError(Ask(cluster, 0, MakeRequest("POST", "/bookings", "")), 401,
+             "key_missing");
+  CheckError(Ask(cluster, 0, MakeRequest("POST", "/bookings", KeyOf(7))), 401,
+             "key_unknown");
+  CheckError(Ask(cluster, 0, MakeRequest("GET", "/nowhere", KeyOf(0))), 404,
+             "no_route");
+  const auto open = Ask(cluster, 0, MakeRequest("GET", "/browse", ""));
+  CHECK_EQUAL(200, open->status);
+}
+
+// Guards against a node that serves keyed routes before it knows any configuration.
+TEST(node, RefusesBeforeItHasAConfiguration) {
+  fleet cluster(SmallDeployment(3), 1);
+  cluster.log().faults().down = true;
+  CheckError(Ask(cluster, 0, MakeRequest("POST", "/bookings", KeyOf(0))), 503,
+             "config_stale");
+}
+
+// Guards against a second run when a caller sends a booking again elsewhere.
+TEST(node, SecondCopyOfABookingGetsTheFirstAnswer) {
+  fleet cluster(SmallDeployment(5), 1);
+  PublishSmallDeployment(&cluster, 1);
+  // A new fleet needs its roster before idempotency keys can be claimed.
+  cluster.Advance(seconds(12));
+  http_request request = MakeRequest("POST", "/bookings", KeyOf(0), "night 7");
+  request.headers.Add("Idempotency-Key",
+                      "01890000-0000-7000-8000-000000000001");
+  http_request other = MakeRequest("POST", "/bookings", KeyOf(0), "night 7");
+  other.headers.Add("Idempotency-Key", "booking-1");
+  const auto runs = [&] {
+    int64_t sum = 0;
+    for (size_t i = 0; i < cluster.size(); i += 2)
+      sum += cluster.targets().counters(cluster.TargetAddress(i, 0)).runs;
+    return sum;
+  };
+  const auto unavailable = Ask(cluster, 1, other, seconds(3));
+  CheckError(unavailable, 503, "dedup_unavailable");
+  for (const size_t machine : {0, 1, 4}) {
+    const auto response = Ask(cluster, machine, request);
+    CHECK_TRUE(response.has_value());
+    CHECK_EQUAL(200, response->status);
+  }
+  CHECK_EQUAL(1, runs());
+}
+
+// Guards against a planned stop that cuts requests in progress or leaves the fleet without service.
+TEST(node, DrainCutsNoRequest) {
+  fleet cluster(SmallDeployment(5), 1);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(seconds(3));
+  int answered = 0;
+  int other = 0;
+  const auto count = [&](const std::optional<http_response>& response) {
+    if (response && response->status == 200)
+      ++answered;
+    else
+      ++other;
+  };
+  for (int i = 0; i < 400; ++i) {
+    if (i == 100)
+      cluster.DrainNode(2);
+    // Callers use nodes that stay.
+    cluster.Send(i % 2 == 0 ? 0 : 4,
+                 MakeRequest("POST", "/bookings", KeyOf(0)), count);
+    cluster.Advance(milliseconds(10));
+  }
+  cluster.Advance(seconds(2));
+  CHECK_EQUAL(400, answered);
+  CHECK_EQUAL(0, other);
+  CHECK_FALSE(cluster.IsUp(2));
+}
+
+}  // namespace
+}  // namespace skylarkhoist
--- a/testing/measure_main.cc
+++ b/testing/measure_main.cc
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <string>
 
+#include "kernel/log.h"
 #include "testing/measurement.h"
 
 int main(int argc, char** argv) {
@@ -14,6 +15,7 @@
   app.add_option("--seed", options.seed, "Seed of the run");
   app.add_option("--scale", options.scale, "Share of the full length");
   CLI11_PARSE(app, argc, argv);
+  skylarkhoist::ConfigureLog(skylarkhoist::log_format::kOff);
   const auto chosen = skylarkhoist::measurement_registry::Create(name);
   for (const skylarkhoist::json& line : chosen->Run(options))
     std::puts(line.dump().c_str());
