Add the wire layer and the stand-ins for log and targets

Cause: nodes need peer links, an HTTP server and clients, and tests need a log service and targets to talk to.

--- /dev/null
+++ b/wire/http_server_test.cc
@@ -0,0 +1,274 @@
+#include "wire/http_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "testing/raw_socket.h"
+#include "testing/run_until.h"
+
+namespace skylarkhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_GROUP(http_server) {
+  event_loop loop;
+  metrics counters;
+  std::vector<http_request> requests;
+  std::vector<std::shared_ptr<http_exchange>> held;
+  bool hold = false;
+  std::unique_ptr<http_server> server;
+
+  void setup() override {
+    http_server_settings settings;
+    settings.listen_address = "127.0.0.1:0";
+    settings.name = "test";
+    settings.idle_timeout = milliseconds(200);
+    server = std::make_unique<http_server>(
+        &loop, settings,
+        [this](const http_request& request, const auto& exchange) {
+          requests.push_back(request);
+          if (hold) {
+            held.push_back(exchange);
+            return;
+          }
+          http_response response;
+          response.status = 200;
+          response.headers.Add("X-Test", "1");
+          response.body = request.method + " " + request.body;
+          exchange->Respond(response);
+          response.status = 500;
+          exchange->Respond(response);
+        },
+        &counters);
+    CHECK_TRUE(server->Listen().has_value());
+  }
+  void teardown() override {
+    held.clear();
+    server.reset();
+  }
+
+  double Refused(const char* reason) {
+    return counters
+        .Counter("skylark_http_refused_total", "",
+                 {{"listener", "test"}, {"reason", reason}})
+        .Value();
+  }
+
+  // Reads from `socket` until it has `text` or the stream ends.
+  std::string ReadUntil(raw_socket & socket, const std::string& text) {
+    std::string got;
+    RunUntil(loop, [&] {
+      got += socket.Read();
+      return got.find(text) != std::string::npos || socket.ended();
+    });
+    return got;
+  }
+};
+
+// Guards against methods that callers use and evhttp refuses by default, and
+// against a second response on the same exchange.
+TEST(http_server, AnswersAllMethodsOnOneConnection) {
+  struct {
+    std::string method;
+    std::string body;
+  } const cases[] = {{"GET", ""},    {"POST", "p"},   {"PUT", "u"},
+                     {"DELETE", ""}, {"PATCH", "pa"}, {"OPTIONS", ""},
+                     {"POST", ""}};
+  raw_socket socket = raw_socket::ConnectTo(server->listen_address());
+  for (const auto& each : cases) {
+    socket.Write(each.method +
+                 " /a/b?c=d HTTP/1.1\r\nHost: x\r\nX-One: 1\r\n"
+                 "Connection: X-Two\r\nX-Two: 2\r\nContent-Length: " +
+                 std::to_string(each.body.size()) + "\r\n\r\n" + each.body);
+    const std::string expected = "\r\n\r\n" + each.method + " " + each.body;
+    const std::string got = ReadUntil(socket, expected);
+    CHECK_TRUE(got.find("HTTP/1.1 200 OK\r\n") == 0);
+    CHECK_TRUE(got.find("X-Test: 1\r\n") != std::string::npos);
+    CHECK_TRUE(got.find(expected) != std::string::npos);
+    CHECK_EQUAL("/a/b?c=d", requests.back().path);
+    CHECK_EQUAL(each.body, requests.back().body);
+    CHECK_EQUAL("1", *requests.back().headers.Find("x-one"));
+    CHECK_TRUE(requests.back().headers.Find("x-two") == nullptr);
+  }
+  CHECK_TRUE(RunUntil(loop, [&] { return server->open_exchanges() == 0; }));
+}
+
+// Guards against a body after the response to HEAD, which the caller would read
+// as its next response.
+TEST(http_server, HeadHasNoBody) {
+  raw_socket socket = raw_socket::ConnectTo(server->listen_address());
+  socket.Write("HEAD / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  const std::string got = ReadUntil(socket, "no such text");
+  CHECK_TRUE(got.find("HTTP/1.1 200 OK\r\n") == 0);
+  CHECK_EQUAL(got.size() - 4, got.find("\r\n\r\n"));
+}
+
+// Guards against requests above a limit, or with two meanings, that reach the
+// handler, and against refusals that are not counted or not JSON.
+TEST(http_server, LimitsAndFaultsAreRefusedAsJson) {
+  const std::string line = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::string long_value(20'000, 'a');
+  struct {
+    const char* name;
+    std::string bytes;
+    const char* status;
+    const char* reason;
+  } const cases[] = {
+      {"header field", line + "X: " + long_value + "\r\n\r\n", "431",
+       "headers_too_large"},
+      {"request line", "GET /" + long_value + " HTTP/1.1\r\nHost: x\r\n\r\n",
+       "431", "headers_too_large"},
+      {"body length", line + "Content-Length: 8388609\r\n\r\n", "413",
+       "body_too_large"},
+      {"body length after 100-continue",
+       line + "Expect: 100-continue\r\nContent-Length: 8388609\r\n\r\n", "413",
+       "body_too_large"},
+      {"chunk size", line + "Transfer-Encoding: chunked\r\n\r\n800001\r\nabc",
+       "413", "body_too_large"},
+      {"two lengths", line + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na",
+       "400", "bad_request"},
+      {"length and chunks",
+       line + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "0\r\n\r\n",
+       "400", "bad_request"},
+      {"body of GET", "GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\na",
+       "400", "bad_request"},
+      {"not HTTP", "hello\r\n\r\n", "400", "bad_request"},
+      {"unknown method", "BREW / HTTP/1.1\r\nHost: x\r\n\r\n", "501",
+       "bad_request"},
+      {"method not allowed", "TRACE / HTTP/1.1\r\nHost: x\r\n\r\n", "501",
+       "bad_request"},
+  };
+  for (const auto& each : cases) {
+    const double before = Refused(each.reason);
+    raw_socket socket = raw_socket::ConnectTo(server->listen_address());
+    socket.Write(each.bytes);
+    const std::string got = ReadUntil(socket, "no such text");
+    STRCMP_EQUAL_TEXT(each.status, got.substr(9, 3).c_str(), each.name);
+    const std::string body = std::string(R"({"reason":")") + each.reason +
+                             R"(","ran":"no","request_id":""})";
+    const size_t start = got.find("\r\n\r\n");
+    STRCMP_EQUAL_TEXT(body.c_str(), got.substr(start + 4).c_str(), each.name);
+    CHECK_TRUE_TEXT(socket.ended(), each.name);
+    DOUBLES_EQUAL_TEXT(before + 1, Refused(each.reason), 0, each.name);
+  }
+  CHECK_TRUE(requests.empty());
+}
+
+// Guards against refusals of requests that are just within the limits.
+TEST(http_server, LargestRequestPasses) {
+  raw_socket socket = raw_socket::ConnectTo(server->listen_address());
+  const size_t size = 8U << 20U;
+  socket.Write("POST / HTTP/1.1\r\nHost: x\r\nX: " + std::string(16'000, 'a') +
+               "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n");
+  const std::string body(size, 'b');
+  size_t sent = 0;
+  CHECK_TRUE(RunUntil(loop, [&] {
+    sent += socket.TryWrite(std::string_view(body).substr(sent));
+    return sent == size;
+  }));
+  CHECK_TRUE(ReadUntil(socket, "200 OK").find("200 OK") != std::string::npos);
+  CHECK_EQUAL(size, requests.at(0).body.size());
+}
+
+// Guards against work for callers that have left, and against an end that goes
+// unnoticed or is reported after the response.
+TEST(http_server, DisconnectIsReportedOnce) {
+  hold = true;
+  for (const bool reset : {false, true}) {
+    int gone = 0;
+    raw_socket socket = raw_socket::ConnectTo(server->listen_address());
+    socket.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(RunUntil(loop, [&] { return !held.empty(); }));
+    held[0]->OnGone([&] { ++gone; });
+    RunFor(loop, milliseconds(20));
+    CHECK_EQUAL(0, gone);
+    if (reset)
+      socket.Reset();
+    else
+      socket.Close();
+    CHECK_TRUE(RunUntil(loop, [&] { return gone == 1; }));
+    CHECK_FALSE(held[0]->waiting());
+    held[0]->Respond({});
+    CHECK_EQUAL(0U, server->open_exchanges());
+    held.clear();
+  }
+}
+
+// Guards against responses that are cut off by the idle timeout, and against
+// idle connections that stay for ever.
+TEST(http_server, IdleTimeoutSparesOpenExchanges) {
+  hold = true;
+  raw_socket busy = raw_socket::ConnectTo(server->listen_address());
+  busy.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  raw_socket idle = raw_socket::ConnectTo(server->listen_address());
+  raw_socket partial = raw_socket::ConnectTo(server->listen_address());
+  partial.Write("GET / HTTP/1.1\r\nHost");
+  RunFor(loop, milliseconds(500));
+  idle.Read();
+  partial.Read();
+  busy.Read();
+  CHECK_TRUE(idle.ended());
+  CHECK_TRUE(partial.ended());
+  CHECK_FALSE(busy.ended());
+  http_response response;
+  response.status = 204;
+  held.at(0)->Respond(response);
+  CHECK_TRUE(ReadUntil(busy, "204").find("204") != std::string::npos);
+}
+
+// Guards against a second request on the connection that is lost or answered
+// out of turn.
+TEST(http_server, PipelinedRequestsAreAnsweredInOrder) {
+  hold = true;
+  raw_socket socket = raw_socket::ConnectTo(server->listen_address());
+  socket.Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  RunUntil(loop, [&] { return held.size() == 1; });
+  socket.Write("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  RunFor(loop, milliseconds(20));
+  CHECK_EQUAL(1U, held.size());
+  http_response response;
+  response.status = 201;
+  held[0]->Respond(response);
+  CHECK_TRUE(RunUntil(loop, [&] { return held.size() == 2; }));
+  response.status = 202;
+  held[1]->Respond(response);
+  const std::string got = ReadUntil(socket, "202");
+  CHECK_TRUE(got.find("201") < got.find("202"));
+  CHECK_EQUAL("/2", requests.at(1).path);
+}
+
+// Guards against callers that wait for ever on a request that was dropped.
+TEST(http_server, ForgottenExchangeGets500) {
+  hold = true;
+  raw_socket socket = raw_socket::ConnectTo(server->listen_address());
+  socket.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK_TRUE(RunUntil(loop, [&] { return !held.empty(); }));
+  held.clear();
+  CHECK_TRUE(ReadUntil(socket, "500").find("HTTP/1.1 500") == 0);
+}
+
+// Guards against responses that a planned stop cuts off.
+TEST(http_server, StopAcceptingFinishesOpenExchanges) {
+  hold = true;
+  raw_socket socket = raw_socket::ConnectTo(server->listen_address());
+  socket.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK_TRUE(RunUntil(loop, [&] { return !held.empty(); }));
+  server->StopAccepting();
+  CHECK_EQUAL(1U, server->open_exchanges());
+  http_response response;
+  response.status = 200;
+  response.body = "done";
+  held[0]->Respond(response);
+  const std::string got = ReadUntil(socket, "no such text");
+  CHECK_TRUE(got.find("Connection: close") != std::string::npos);
+  CHECK_TRUE(got.find("done") != std::string::npos);
+  CHECK_EQUAL(0U, server->open_exchanges());
+}
+
+}  // namespace
+}  // namespace skylarkhoist
--- /dev/null
+++ b/wire/http_target_client_test.cc
@@ -0,0 +1,275 @@
+#include "wire/http_target_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "testing/raw_socket.h"
+#include "testing/run_until.h"
+#include "wire/http_server.h"
+
+namespace skylarkhoist {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+http_request Request(const std::string& method, const std::string& body = "") {
+  http_request request;
+  request.method = method;
+  request.path = "/path?query";
+  request.headers.Add("X-One", "1");
+  request.headers.Add("Transfer-Encoding", "chunked");
+  request.body = body;
+  return request;
+}
+
+TEST_GROUP(http_target_client) {
+  event_loop loop;
+  metrics counters;
+  std::unique_ptr<http_target_client> client;
+  raw_socket listener;
+  raw_socket accepted;
+  std::optional<target_result> result;
+  int results = 0;
+
+  void setup() override {
+    http_target_client_settings settings;
+    settings.max_body_bytes = 100'000;
+    settings.max_idle = milliseconds(200);
+    client = std::make_unique<http_target_client>(&loop, settings, &counters);
+    listener = raw_socket::Listener();
+  }
+  void teardown() override {
+    client.reset();
+    listener.Close();
+    accepted.Close();
+  }
+
+  target_call_id Call(const http_request& request,
+                      duration timeout = seconds(5)) {
+    result.reset();
+    return client->Call(listener.address(), request, timeout,
+                        [this](const target_result& got) {
+                          result = got;
+                          ++results;
+                        });
+  }
+  bool AcceptOne() {
+    return RunUntil(loop, [&] {
+      accepted = listener.Accept();
+      return accepted.open();
+    });
+  }
+  std::string ReadUntil(const std::string& text) {
+    std::string got;
+    RunUntil(loop, [&] {
+      got += accepted.Read();
+      return got.find(text) != std::string::npos || accepted.ended();
+    });
+    return got;
+  }
+  bool Finished() {
+    return RunUntil(loop, [&] { return result.has_value(); });
+  }
+  void CheckError(target_error error, bool may_have_run, const char* name) {
+    CHECK_TRUE_TEXT(Finished(), name);
+    LONGS_EQUAL_TEXT(static_cast<int>(error), static_cast<int>(result->error),
+                     name);
+    CHECK_EQUAL_TEXT(may_have_run, result->may_have_run, name);
+  }
+};
+
+// Guards against requests and responses that change on the way.
+TEST(http_target_client, AllMethodsReachAServer) {
+  http_server_settings settings;
+  settings.listen_address = "127.0.0.1:0";
+  settings.name = "test";
+  http_request seen;
+  http_server server(
+      &loop, settings,
+      [&](const http_request& request, const auto& exchange) {
+        seen = request;
+        http_response response;
+        response.status = 207;
+        response.headers.Add("X-Two", "2");
+        response.body = request.body;
+        exchange->Respond(response);
+      },
+      &counters);
+  CHECK_TRUE(server.Listen().has_value());
+  struct {
+    const char* method;
+    const char* body;
+  } const cases[] = {{"GET", ""},     {"HEAD", ""},   {"POST", "a"},
+                     {"PUT", "b"},    {"PATCH", "c"}, {"DELETE", ""},
+                     {"OPTIONS", ""}, {"POST", ""}};
+  for (const auto& each : cases) {
+    result.reset();
+    client->Call(server.listen_address(), Request(each.method, each.body),
+                 seconds(5), [&](const target_result& got) { result = got; });
+    CHECK_FALSE(result.has_value());
+    CheckError(target_error::kNone, true, each.method);
+    CHECK_EQUAL(207, result->response.status);
+    CHECK_EQUAL(std::string(each.body), result->response.body);
+    CHECK_EQUAL("2", *result->response.headers.Find("X-Two"));
+    CHECK_EQUAL(std::string(each.method), seen.method);
+    CHECK_EQUAL("/path?query", seen.path);
+    CHECK_EQUAL(std::string(each.body), seen.body);
+    CHECK_EQUAL("1", *seen.headers.Find("X-One"));
+    CHECK_EQUAL(server.listen_address(), *seen.headers.Find("Host"));
+    CHECK_EQUAL(1U, client->idle_connections());
+  }
+}
+
+// Guards against damaged or unlimited responses that pass as whole ones, and
+// against false statements on whether the request may have run.
+TEST(http_target_client, FaultyResponses) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  struct {
+    const char* name;
+    std::string bytes;
+    target_error error;
+  } const cases[] = {
+      {"closed without a byte", "", target_error::kConnectionLost},
+      {"closed in the status line", "HTTP/1.1 2",
+       target_error::kConnectionLost},
+      {"closed in the headers", ok + "X: 1\r\n", target_error::kConnectionLost},
+      {"closed in the body", ok + "Content-Length: 5\r\n\r\nabc",
+       target_error::kConnectionLost},
+      {"closed in a chunk", ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+       target_error::kConnectionLost},
+      {"closed after a chunk",
+       ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+       target_error::kConnectionLost},
+      {"body without length", ok + "\r\nabc", target_error::kMalformed},
+      {"not HTTP", "hello\r\n\r\n", target_error::kMalformed},
+      {"bad length", ok + "Content-Length: x\r\n\r\n",
+       target_error::kMalformed},
+      {"long body", ok + "Content-Length: 100001\r\n\r\n",
+       target_error::kTooLarge},
+  };
+  for (const auto& each : cases) {
+    Call(Request("POST", "body"));
+    CHECK_TRUE_TEXT(AcceptOne(), each.name);
+    ReadUntil("body");
+    accepted.Write(each.bytes);
+    accepted.Close();
+    CheckError(each.error, true, each.name);
+    CHECK_EQUAL(0U, client->idle_connections());
+  }
+  LONGS_EQUAL(std::size(cases), results);
+}
+
+// Guards against a request that is given up as unknown although the target
+// never saw it.
+TEST(http_target_client, NothingSentIsNotRun) {
+  const std::string address = listener.address();
+  listener.Close();
+  client->Call(address, Request("POST", "body"), seconds(5),
+               [this](const target_result& got) { result = got; });
+  CHECK_FALSE(result.has_value());
+  CheckError(target_error::kConnectRefused, false, "refused");
+
+  struct {
+    const char* name;
+    const char* method;
+    const char* path;
+    const char* body;
+  } const cases[] = {{"unknown method", "BREW", "/", ""},
+                     {"line break in path", "GET", "/a\r\nX: 1", ""},
+                     {"space in path", "GET", "/a b", ""},
+                     {"no path", "GET", "", ""},
+                     {"body of GET", "GET", "/", "body"}};
+  for (const auto& each : cases) {
+    http_request request;
+    request.method = each.method;
+    request.path = each.path;
+    request.body = each.body;
+    result.reset();
+    client->Call(address, request, seconds(5),
+                 [this](const target_result& got) { result = got; });
+    CheckError(target_error::kMalformed, false, each.name);
+  }
+}
+
+// Guards against a request that is sent a second time, and against "not run"
+// when the target may have read it: the target closes a reused connection
+// after it has got the second request.
+TEST(http_target_client, ClosedReusedConnectionIsNotRetried) {
+  Call(Request("POST", "first"));
+  CHECK_TRUE(AcceptOne());
+  ReadUntil("first");
+  accepted.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CheckError(target_error::kNone, true, "first");
+  CHECK_EQUAL(1U, client->idle_connections());
+
+  Call(Request("POST", "second"));
+  CHECK_TRUE(ReadUntil("second").find("second") != std::string::npos);
+  accepted.Close();
+  CheckError(target_error::kConnectionLost, true, "second");
+  RunFor(loop, milliseconds(100));
+  CHECK_FALSE(listener.Accept().open());
+  CHECK_EQUAL(2, results);
+}
+
+// Guards against requests on connections that the target has closed, which
+// would end as unknown.
+TEST(http_target_client, ConnectionClosedWhileIdleIsReplaced) {
+  for (const bool run_loop : {false, true}) {
+    Call(Request("GET"));
+    CHECK_TRUE(AcceptOne());
+    ReadUntil("\r\n\r\n");
+    accepted.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    CheckError(target_error::kNone, true, "first");
+    accepted.Close();
+    if (run_loop)
+      RunFor(loop, milliseconds(20));
+    Call(Request("GET"));
+    CHECK_TRUE(AcceptOne());
+    ReadUntil("\r\n\r\n");
+    accepted.Write(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    CheckError(target_error::kNone, true, "second");
+    CHECK_EQUAL(0U, client->idle_connections());
+  }
+}
+
+// Guards against idle connections that are kept or used for too long.
+TEST(http_target_client, IdleConnectionsAreClosed) {
+  Call(Request("GET"));
+  CHECK_TRUE(AcceptOne());
+  ReadUntil("\r\n\r\n");
+  accepted.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CheckError(target_error::kNone, true, "call");
+  CHECK_TRUE(RunUntil(loop, [&] { return client->idle_connections() == 0; }));
+  CHECK_TRUE(RunUntil(loop, [&] {
+    accepted.Read();
+    return accepted.ended();
+  }));
+}
+
+// Guards against calls that never end, and against a late response that ends
+// another call.
+TEST(http_target_client, TimeoutAndCancelCloseTheConnection) {
+  Call(Request("GET"), milliseconds(50));
+  CHECK_TRUE(AcceptOne());
+  CheckError(target_error::kTimeout, true, "timeout");
+  ReadUntil("no such text");
+  CHECK_TRUE(accepted.ended());
+
+  const target_call_id id = Call(Request("GET"));
+  CHECK_TRUE(AcceptOne());
+  ReadUntil("\r\n\r\n");
+  client->Cancel(id);
+  client->Cancel(id);
+  ReadUntil("no such text");
+  CHECK_TRUE(accepted.ended());
+  CHECK_EQUAL(1, results);
+}
+
+}  // namespace
+}  // namespace skylarkhoist
