Test the configuration follower over a log with faults

Cause: the follower had no tests, and its promises (no revert, nothing lost, same state everywhere) only show under lost answers, outages, trims and restarts.

Change: memory_log is the log service in memory with faults on command; config_fleet runs followers on it in the in-memory network. The follower logs once, not every 250 ms, that it is behind the trim point.

--- a/node/config_follower.cc
+++ b/node/config_follower.cc
@@ -268,6 +268,7 @@
       read_again_ = true;
     return;
   }
+  behind_trim_point_ = false;
   if (batch.end_offset <= fold_.offset())
     counters_->log_behind.Increment();
   const uint64_t before = fold_.offset();
@@ -295,7 +296,8 @@
   if (error.first_offset <= fold_.offset() + 1 && !scan_)
     return;
   // Records that this state lacks are gone from the log.
-  if (!scan_) {
+  if (!behind_trim_point_) {
+    behind_trim_point_ = true;
     LogWarning("config_follower", "behind_trim_point",
                {{"offset", std::to_string(fold_.offset())},
                 {"first", std::to_string(error.first_offset)}});
--- a/node/config_follower.h
+++ b/node/config_follower.h
@@ -216,6 +216,7 @@
     std::optional<config_fold> best;
   };
   std::optional<scan> scan_;
+  bool behind_trim_point_ = false;
 
   // The newest records, for peers that are a little behind. Their offsets end
   // with that of the fold.
--- /dev/null
+++ b/testing/config_fleet.cc
@@ -0,0 +1,203 @@
+#include "testing/config_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace skylarkhoist {
+namespace {
+
+constexpr auto kGossipInterval = std::chrono::milliseconds(500);
+constexpr size_t kGossipPeers = 3;
+constexpr size_t kZones = 3;
+
+std::string ZoneOf(size_t index) {
+  return "z" + std::to_string(index % kZones);
+}
+
+}  // namespace
+
+struct config_fleet::fleet_node : public peer_observer {
+  fleet_node(config_fleet* owner, size_t index, uint64_t incarnation)
+      : fleet(owner),
+        self{AddressOf(index), "n" + std::to_string(index), ZoneOf(index),
+             incarnation},
+        timers(owner->loop_),
+        log(owner->log_.Connect(
+            [owner, index] { return owner->log_reachable_[index]; })),
+        transport(owner->network_.AddNode(self)) {
+    config_follower_options options = owner->options_;
+    options.peer_address = self.address;
+    options.zone = self.zone;
+    options.author = self.node;
+    options.seed_peers = {AddressOf(0), AddressOf(1)};
+    options.unix_ms = [owner] {
+      return ToMilliseconds(owner->loop_->Now().time_since_epoch());
+    };
+    follower = std::make_unique<config_follower>(
+        &timers, log.get(), transport, owner->random_, options,
+        [owner, index] { return owner->LivePeers(index); }, &counters);
+  }
+
+  void OnPeerMessage(const peer_info& from,
+                     const fbs::envelopeT& message) override {
+    if (const auto* news = message.body.Asconfig_news())
+      follower->HandleNews(from.address, *news);
+    else if (const auto* request = message.body.Asconfig_request())
+      follower->HandleRequest(from.address, *request);
+    else if (const auto* state = message.body.Asconfig_state())
+      follower->HandleState(from.address, *state);
+    else if (const auto* beat = message.body.Asheartbeat())
+      follower->NotePeerOffset(from.address, beat->applied_offset);
+    else if (const auto* gossip = message.body.Asgossip())
+      follower->NotePeerOffset(from.address,
+                               gossip->entries.front()->applied_offset);
+  }
+  void OnLinkUp(const peer_info& /*peer*/) override {}
+  void OnLinkDown(const peer_info& /*peer*/,
+                  link_down_cause /*cause*/) override {}
+  fbs::heartbeatT MakeHeartbeat() override {
+    fbs::heartbeatT beat;
+    beat.applied_offset = follower->applied_offset();
+    return beat;
+  }
+
+  config_fleet* fleet;
+  peer_info self;
+  node_loop timers;
+  metrics counters;
+  std::unique_ptr<log_client> log;
+  peer_transport* transport;
+  std::unique_ptr<config_follower> follower;
+  // Versions and offset after the last change, to notice one that falls.
+  std::map<std::string, uint64_t> versions;
+  uint64_t offset = 0;
+};
+
+config_fleet::config_fleet(manual_loop* loop,
+                           random_source* random,
+                           size_t size,
+                           config_follower_options options)
+    : loop_(loop),
+      random_(random),
+      options_(std::move(options)),
+      log_(loop, random),
+      network_(loop, random),
+      log_reachable_(size, true),
+      nodes_(size) {}
+
+config_fleet::~config_fleet() {
+  for (size_t i = 0; i < nodes_.size(); ++i)
+    Stop(i);
+}
+
+void config_fleet::StartAll() {
+  for (size_t i = 0; i < nodes_.size(); ++i)
+    Start(i);
+}
+
+void config_fleet::Start(size_t index) {
+  Stop(index);
+  nodes_[index] =
+      std::make_unique<fleet_node>(this, index, next_incarnation_++);
+  fleet_node& node = *nodes_[index];
+  node.transport->Start(&node);
+  node.follower->OnChange([this, index] { WatchChange(index); });
+  node.follower->Start();
+  GossipFrom(index);
+}
+
+void config_fleet::Stop(size_t index) {
+  if (nodes_[index] == nullptr)
+    return;
+  network_.StopNode(AddressOf(index));
+  nodes_[index].reset();
+}
+
+void config_fleet::Join(size_t index) {
+  const peer_info& self = nodes_[index]->self;
+  nodes_[index]->follower->AppendJoin(
+      {self.node, self.zone, self.address, self.incarnation}, nullptr);
+}
+
+void config_fleet::JoinAll() {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (IsRunning(i))
+      Join(i);
+  }
+  for (int i = 0; i < 100 && !AllAgree(); ++i)
+    loop_->Advance(std::chrono::milliseconds(200));
+}
+
+config_follower& config_fleet::follower(size_t index) const {
+  return *nodes_[index]->follower;
+}
+
+std::string config_fleet::AddressOf(size_t index) {
+  return "10.0.0." + std::to_string(index + 1) + ":9";
+}
+
+uint64_t config_fleet::MinOffset() const {
+  uint64_t lowest = UINT64_MAX;
+  for (const auto& node : nodes_) {
+    if (node != nullptr)
+      lowest = std::min(lowest, node->follower->applied_offset());
+  }
+  return lowest;
+}
+
+bool config_fleet::AllAgree() const {
+  const json* first = nullptr;
+  json state;
+  for (const auto& node : nodes_) {
+    if (node == nullptr)
+      continue;
+    if (node->follower->applied_offset() + 1 != log_.end_offset())
+      return false;
+    if (first == nullptr) {
+      state = node->follower->fold().ToJson();
+      first = &state;
+    } else if (node->follower->fold().ToJson() != *first) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<std::string> config_fleet::LivePeers(size_t index) const {
+  std::vector<std::string> live;
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (i != index && nodes_[i] != nullptr)
+      live.push_back(AddressOf(i));
+  }
+  return live;
+}
+
+void config_fleet::GossipFrom(size_t index) {
+  fleet_node& node = *nodes_[index];
+  const std::vector<std::string> live = LivePeers(index);
+  for (size_t i = 0; i < kGossipPeers && !live.empty(); ++i) {
+    fbs::gossipT gossip;
+    auto entry = std::make_unique<fbs::member_entryT>();
+    entry->applied_offset = node.follower->applied_offset();
+    gossip.entries.push_back(std::move(entry));
+    node.transport->Send(live[random_->Below(live.size())],
+                         Envelope(std::move(gossip)));
+  }
+  node.timers.RunAfter(kGossipInterval, [this, index] { GossipFrom(index); });
+}
+
+void config_fleet::WatchChange(size_t index) {
+  fleet_node& node = *nodes_[index];
+  const config_fold& fold = node.follower->fold();
+  if (fold.offset() < node.offset)
+    ++reverts_;
+  node.offset = fold.offset();
+  for (const auto& [path, entry] : fold.entries()) {
+    uint64_t& version = node.versions[path];
+    if (entry.version < version)
+      ++reverts_;
+    version = entry.version;
+  }
+}
+
+}  // namespace skylarkhoist
