Add leases and the rate limit of the whole fleet

Rate and burst hold over all nodes together, so tokens need a single owner for each customer and a way to use them elsewhere.

shard_group decides when a member of a shard's group counts: an entrant waits until each former group has lost its majority, and one lease period more. lease_witness and lease_holder keep one holder at a time. rate_ledger mints and lends tokens, rate_borrower holds them on each node, rate_service joins all of it on a node. Counts of a loan are cumulative and each loan has a number, so that lost, repeated and late messages do no harm. A new owner recalls all loans and starts early when every member has reported or is certainly gone.

Fields appended to lease_request (group), lease_grant (holder_version), rate_request (loan, urgent, report, shard, loans) and rate_grant (loan, closed, recall, shard, want_back).

rate_fleet runs rate services on the in-memory network. 300 histories with 1, 2 and 4 faults keep the limit in the debug build (7 s); with several members minting without a lease the same check fails.

--- /dev/null
+++ b/decisions/shard_group_test.cc
@@ -0,0 +1,103 @@
+#include "decisions/shard_group.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace skylarkhoist {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point kStart{std::chrono::hours(1)};
+
+// One member per zone and no others, so that the group is the whole roster.
+roster_view Roster(uint64_t version,
+                   const std::vector<uint64_t>& incarnations) {
+  roster_view roster;
+  roster.version = version;
+  for (const uint64_t id : incarnations) {
+    const std::string name = "n" + std::to_string(id);
+    roster.members.push_back({name, name, name, id});
+  }
+  return roster;
+}
+
+TEST_GROUP(shard_group) {
+  shard_group group{"s", 4};
+};
+
+// A restarted member has lost its grants and must let them run out.
+TEST(shard_group, FirstMembersWaitForOneLeasePeriod) {
+  group.SetRoster(Roster(1, {}), kStart);
+  group.SetRoster(Roster(2, {4, 5}), kStart);
+  CHECK_FALSE(group.Counts(kStart + milliseconds(999)));
+  CHECK_TRUE(group.Counts(kStart + seconds(1)));
+}
+
+// Guards against majorities of two versions without a common member.
+TEST(shard_group, EntrantNeedsMajorityOfFormerGroup) {
+  group.SetRoster(Roster(1, {1, 2, 3}), kStart);
+  group.SetRoster(Roster(2, {2, 3, 4}), kStart);
+  group.OnPeerVersion(2, 2, kStart + seconds(1));
+  group.OnPeerVersion(3, 1, kStart + seconds(1));
+  group.OnPeerVersion(9, 2, kStart + seconds(1));
+  CHECK_FALSE(group.Counts(kStart + seconds(9)));
+  CHECK_EQUAL(2, group.Unconfirmed().size());
+  group.OnPeerVersion(3, 2, kStart + seconds(9));
+  CHECK_FALSE(group.Counts(kStart + milliseconds(9999)));
+  CHECK_TRUE(group.Counts(kStart + seconds(10)));
+}
+
+TEST(shard_group, GoneMembersCannotGrantAnyMore) {
+  group.SetRoster(Roster(1, {1, 2, 3}), kStart);
+  group.SetRoster(Roster(2, {3, 4, 5}), kStart);
+  group.OnPeerGone(1, kStart);
+  CHECK_FALSE(group.Counts(kStart + seconds(2)));
+  group.OnPeerGone(2, kStart + seconds(2));
+  CHECK_TRUE(group.Counts(kStart + seconds(3)));
+}
+
+// Guards against a fence that looks at the last change only: members of the
+// first group may still be at version 1.
+TEST(shard_group, ChangesInQuickSuccessionAreFencedOneByOne) {
+  group.SetRoster(Roster(1, {1, 2, 3}), kStart);
+  group.SetRoster(Roster(2, {1, 5, 6}), kStart);
+  group.SetRoster(Roster(3, {4, 5, 6}), kStart);
+  group.OnPeerVersion(5, 3, kStart);
+  group.OnPeerVersion(6, 3, kStart);
+  CHECK_FALSE(group.Counts(kStart + seconds(5)));
+  group.OnPeerVersion(1, 2, kStart);
+  group.OnPeerVersion(2, 2, kStart + seconds(5));
+  CHECK_FALSE(group.Counts(kStart + milliseconds(5999)));
+  CHECK_TRUE(group.Counts(kStart + seconds(6)));
+}
+
+TEST(shard_group, StayingMemberCountsThroughChanges) {
+  group.SetRoster(Roster(1, {}), kStart);
+  group.SetRoster(Roster(2, {3, 4, 5}), kStart);
+  const time_point later = kStart + seconds(1);
+  CHECK_TRUE(group.Counts(later));
+  const uint64_t id = group.id();
+  group.SetRoster(Roster(3, {4, 5, 6}), later);
+  CHECK_TRUE(group.Counts(later));
+  CHECK_TRUE(group.id() != id);
+  group.SetRoster(Roster(2, {3, 4, 5}), later);
+  CHECK_TRUE(group.id() != id);
+  group.SetRoster(Roster(4, {5, 6, 7}), later);
+  CHECK_FALSE(group.Counts(later));
+  // Coming back is a new entry.
+  group.SetRoster(Roster(5, {4, 5, 6}), later);
+  CHECK_FALSE(group.Counts(later + seconds(5)));
+}
+
+// A process that starts with a roster that lists it still fences the others.
+TEST(shard_group, UnknownHistoryIsTakenFromTheOthers) {
+  group.SetRoster(Roster(7, {2, 3, 4}), kStart);
+  CHECK_FALSE(group.Counts(kStart + seconds(5)));
+  group.OnPeerVersion(2, 7, kStart);
+  group.OnPeerVersion(3, 7, kStart);
+  CHECK_TRUE(group.Counts(kStart + seconds(1)));
+}
+
+}  // namespace
+}  // namespace skylarkhoist
--- /dev/null
+++ b/testing/rate_fleet.cc
@@ -0,0 +1,187 @@
+#include "testing/rate_fleet.h"
+
+namespace skylarkhoist {
+
+// Passes what a node learns from its links to its rate service.
+class rate_fleet::observer : public peer_observer {
+ public:
+  void OnPeerMessage(const peer_info& from,
+                     const fbs::envelopeT& message) override {
+    if (const auto* lease_request = message.body.Aslease_request())
+      service->HandleLeaseRequest(from, *lease_request);
+    else if (const auto* lease_grant = message.body.Aslease_grant())
+      service->HandleLeaseGrant(from, *lease_grant);
+    else if (const auto* rate_request = message.body.Asrate_request())
+      service->HandleRateRequest(from, *rate_request);
+    else if (const auto* rate_grant = message.body.Asrate_grant())
+      service->HandleRateGrant(from, *rate_grant);
+    else if (const auto* heartbeat = message.body.Asheartbeat())
+      service->OnPeerVersion(from.incarnation, heartbeat->roster_version);
+  }
+  void OnLinkUp(const peer_info& /*peer*/) override {}
+  void OnLinkDown(const peer_info& peer, link_down_cause cause) override {
+    if (cause == link_down_cause::kRefused)
+      service->OnPeerGone(peer.address, 0);
+    else if (cause == link_down_cause::kReplaced)
+      service->OnPeerGone(peer.address, peer.incarnation);
+    else
+      service->OnLinkLost(peer.address);
+  }
+  fbs::heartbeatT MakeHeartbeat() override {
+    fbs::heartbeatT beat;
+    beat.roster_version = roster_version;
+    return beat;
+  }
+
+  rate_service* service = nullptr;
+  uint64_t roster_version = 0;
+};
+
+rate_fleet::rate_fleet(loop* run_loop,
+                       random_source* random,
+                       memory_network* network)
+    : loop_(run_loop), random_(random), network_(network) {
+  roster_.version = 1;
+}
+
+rate_fleet::~rate_fleet() {
+  *alive_ = false;
+  for (size_t i = 0; i < nodes_.size(); ++i)
+    Crash(i);
+}
+
+void rate_fleet::AddNode(const std::string& name, const std::string& zone) {
+  fleet_node& node = nodes_.emplace_back();
+  node.name = name;
+  node.zone = zone;
+  node.address = name + ":9";
+  StartProcess(node);
+}
+
+void rate_fleet::StartProcess(fleet_node& node) {
+  node.incarnation = next_incarnation_++;
+  node.paused = false;
+  node.own_loop = std::make_unique<node_loop>(loop_);
+  node.link_observer = std::make_unique<observer>();
+  peer_transport* transport =
+      network_->AddNode({node.address, node.name, node.zone, node.incarnation});
+  rate_service_options options = defaults_;
+  options.incarnation = node.incarnation;
+  options.address = node.address;
+  node.service = std::make_unique<rate_service>(node.own_loop.get(), transport,
+                                                options, &metrics_);
+  node.link_observer->service = node.service.get();
+  node.service->SetConfig(config_);
+  // A new process folds the log up to its own join record.
+  node.service->SetRoster(roster_);
+  node.link_observer->roster_version = roster_.version;
+  transport->Start(node.link_observer.get());
+}
+
+void rate_fleet::Crash(size_t node) {
+  fleet_node& gone = nodes_[node];
+  if (gone.service == nullptr)
+    return;
+  network_->StopNode(gone.address);
+  gone.service.reset();
+  gone.link_observer.reset();
+  gone.own_loop.reset();
+}
+
+void rate_fleet::Restart(size_t node, bool evict_old) {
+  Crash(node);
+  if (!evict_old)
+    nodes_[node].remains.push_back(nodes_[node].incarnation);
+  else
+    nodes_[node].remains.clear();
+  StartProcess(nodes_[node]);
+}
+
+void rate_fleet::Pause(size_t node) {
+  if (!Running(node))
+    return;
+  nodes_[node].paused = true;
+  nodes_[node].own_loop->Pause();
+  network_->PauseNode(nodes_[node].address);
+}
+
+void rate_fleet::Resume(size_t node) {
+  if (!Running(node) || !nodes_[node].paused)
+    return;
+  nodes_[node].paused = false;
+  // Messages before timers: the order in which a late decision would hurt most.
+  network_->ResumeNode(nodes_[node].address);
+  nodes_[node].own_loop->Resume();
+}
+
+void rate_fleet::Publish(duration longest_delay) {
+  ++roster_.version;
+  roster_.members.clear();
+  for (const fleet_node& node : nodes_) {
+    for (const uint64_t old : node.remains)
+      roster_.members.push_back({node.name, node.zone, node.address, old});
+    if (node.in_roster)
+      roster_.members.push_back(
+          {node.name, node.zone, node.address, node.incarnation});
+  }
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (!Running(i))
+      continue;
+    const duration delay(static_cast<duration::rep>(
+        random_->Fraction() * static_cast<double>(longest_delay.count())));
+    nodes_[i].own_loop->RunAfter(
+        delay, [this, i, incarnation = nodes_[i].incarnation,
+                roster = roster_] { Apply(i, incarnation, roster); });
+  }
+}
+
+void rate_fleet::Apply(size_t node,
+                       uint64_t incarnation,
+                       const roster_view& roster) {
+  fleet_node& target = nodes_[node];
+  if (target.incarnation != incarnation)
+    return;
+  if (!target.log_reachable) {
+    target.own_loop->RunAfter(std::chrono::milliseconds(100),
+                              [this, node, incarnation, roster] {
+                                Apply(node, incarnation, roster);
+                              });
+    return;
+  }
+  target.service->SetRoster(roster);
+  target.link_observer->roster_version =
+      std::max(target.link_observer->roster_version, roster.version);
+}
+
+void rate_fleet::SetRate(const std::string& customer,
+                         double per_second,
+                         double burst) {
+  config_ = std::make_shared<config_view>(*config_);
+  config_->rates[customer] = {per_second, burst};
+  for (fleet_node& node : nodes_) {
+    if (node.service != nullptr)
+      node.service->SetConfig(config_);
+  }
+}
+
+int rate_fleet::OwnerOf(const std::string& customer) const {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (Available(i) && nodes_[i].service->Owns(customer))
+      return static_cast<int>(i);
+  }
+  return -1;
+}
+
+int rate_fleet::OwnerCount(const std::string& customer) const {
+  int owners = 0;
+  for (const fleet_node& node : nodes_)
+    owners += node.service != nullptr && node.service->Owns(customer) ? 1 : 0;
+  return owners;
+}
+
+double rate_fleet::CounterSum(const std::string& name,
+                              const metric_labels& labels) {
+  return metrics_.Counter(name, "", labels).Value();
+}
+
+}  // namespace skylarkhoist
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -90,6 +90,10 @@
 struct lease_grantBuilder;
 struct lease_grantT;
 
+struct rate_loan;
+struct rate_loanBuilder;
+struct rate_loanT;
+
 struct rate_request;
 struct rate_requestBuilder;
 struct rate_requestT;
@@ -164,6 +168,8 @@
 bool operator!=(const lease_requestT &lhs, const lease_requestT &rhs);
 bool operator==(const lease_grantT &lhs, const lease_grantT &rhs);
 bool operator!=(const lease_grantT &lhs, const lease_grantT &rhs);
+bool operator==(const rate_loanT &lhs, const rate_loanT &rhs);
+bool operator!=(const rate_loanT &lhs, const rate_loanT &rhs);
 bool operator==(const rate_requestT &lhs, const rate_requestT &rhs);
 bool operator!=(const rate_requestT &lhs, const rate_requestT &rhs);
 bool operator==(const rate_grantT &lhs, const rate_grantT &rhs);
@@ -2828,6 +2834,7 @@
   uint64_t round = 0;
   uint64_t epoch = 0;
   bool release = false;
+  uint64_t group = 0;
 };
 
 struct lease_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2839,7 +2846,8 @@
     VT_ROSTER_VERSION = 6,
     VT_ROUND = 8,
     VT_EPOCH = 10,
-    VT_RELEASE = 12
+    VT_RELEASE = 12,
+    VT_GROUP = 14
   };
   const flatbuffers::String *shard() const {
     return GetPointer<const flatbuffers::String *>(VT_SHARD);
@@ -2856,6 +2864,9 @@
   bool release() const {
     return GetField<uint8_t>(VT_RELEASE, 0) != 0;
   }
+  uint64_t group() const {
+    return GetField<uint64_t>(VT_GROUP, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARD) &&
@@ -2864,6 +2875,7 @@
            VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_RELEASE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
            verifier.EndTable();
   }
   lease_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2890,6 +2902,9 @@
   void add_release(bool release) {
     fbb_.AddElement<uint8_t>(lease_request::VT_RELEASE, static_cast<uint8_t>(release), 0);
   }
+  void add_group(uint64_t group) {
+    fbb_.AddElement<uint64_t>(lease_request::VT_GROUP, group, 0);
+  }
   explicit lease_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2907,8 +2922,10 @@
     uint64_t roster_version = 0,
     uint64_t round = 0,
     uint64_t epoch = 0,
-    bool release = false) {
+    bool release = false,
+    uint64_t group = 0) {
   lease_requestBuilder builder_(_fbb);
+  builder_.add_group(group);
   builder_.add_epoch(epoch);
   builder_.add_round(round);
   builder_.add_roster_version(roster_version);
@@ -2928,7 +2945,8 @@
     uint64_t roster_version = 0,
     uint64_t round = 0,
     uint64_t epoch = 0,
-    bool release = false) {
+    bool release = false,
+    uint64_t group = 0) {
   auto shard__ = shard ? _fbb.CreateString(shard) : 0;
   return skylarkhoist::fbs::Createlease_request(
       _fbb,
@@ -2936,7 +2954,8 @@
       roster_version,
       round,
       epoch,
-      release);
+      release,
+      group);
 }
 
 flatbuffers::Offset<lease_request> Createlease_request(flatbuffers::FlatBufferBuilder &_fbb, const lease_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2950,6 +2969,7 @@
   uint64_t epoch = 0;
   uint64_t holder = 0;
   uint32_t wait_ms = 0;
+  uint64_t holder_version = 0;
 };
 
 struct lease_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2963,7 +2983,8 @@
     VT_GRANTED = 10,
     VT_EPOCH = 12,
     VT_HOLDER = 14,
-    VT_WAIT_MS = 16
+    VT_WAIT_MS = 16,
+    VT_HOLDER_VERSION = 18
   };
   const flatbuffers::String *shard() const {
     return GetPointer<const flatbuffers::String *>(VT_SHARD);
@@ -2986,6 +3007,9 @@
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
   }
+  uint64_t holder_version() const {
+    return GetField<uint64_t>(VT_HOLDER_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARD) &&
@@ -2996,6 +3020,7 @@
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint64_t>(verifier, VT_HOLDER, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_HOLDER_VERSION, 8) &&
            verifier.EndTable();
   }
   lease_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3028,6 +3053,9 @@
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(lease_grant::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_holder_version(uint64_t holder_version) {
+    fbb_.AddElement<uint64_t>(lease_grant::VT_HOLDER_VERSION, holder_version, 0);
+  }
   explicit lease_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3047,8 +3075,10 @@
     bool granted = false,
     uint64_t epoch = 0,
     uint64_t holder = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    uint64_t holder_version = 0) {
   lease_grantBuilder builder_(_fbb);
+  builder_.add_holder_version(holder_version);
   builder_.add_holder(holder);
   builder_.add_epoch(epoch);
   builder_.add_round(round);
@@ -3072,7 +3102,8 @@
     bool granted = false,
     uint64_t epoch = 0,
     uint64_t holder = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    uint64_t holder_version = 0) {
   auto shard__ = shard ? _fbb.CreateString(shard) : 0;
   return skylarkhoist::fbs::Createlease_grant(
       _fbb,
@@ -3082,11 +3113,106 @@
       granted,
       epoch,
       holder,
-      wait_ms);
+      wait_ms,
+      holder_version);
 }
 
 flatbuffers::Offset<lease_grant> Createlease_grant(flatbuffers::FlatBufferBuilder &_fbb, const lease_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct rate_loanT : public flatbuffers::NativeTable {
+  typedef rate_loan TableType;
+  std::string customer{};
+  uint64_t loan = 0;
+  uint64_t held = 0;
+};
+
+struct rate_loan FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rate_loanT NativeTableType;
+  typedef rate_loanBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CUSTOMER = 4,
+    VT_LOAN = 6,
+    VT_HELD = 8
+  };
+  const flatbuffers::String *customer() const {
+    return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
+  }
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  uint64_t held() const {
+    return GetField<uint64_t>(VT_HELD, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CUSTOMER) &&
+           verifier.VerifyString(customer()) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HELD, 8) &&
+           verifier.EndTable();
+  }
+  rate_loanT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rate_loanT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rate_loan> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rate_loanT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct rate_loanBuilder {
+  typedef rate_loan Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
+    fbb_.AddOffset(rate_loan::VT_CUSTOMER, customer);
+  }
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(rate_loan::VT_LOAN, loan, 0);
+  }
+  void add_held(uint64_t held) {
+    fbb_.AddElement<uint64_t>(rate_loan::VT_HELD, held, 0);
+  }
+  explicit rate_loanBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rate_loan> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rate_loan>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rate_loan> Createrate_loan(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> customer = 0,
+    uint64_t loan = 0,
+    uint64_t held = 0) {
+  rate_loanBuilder builder_(_fbb);
+  builder_.add_held(held);
+  builder_.add_loan(loan);
+  builder_.add_customer(customer);
+  return builder_.Finish();
+}
+
+struct rate_loan::Traits {
+  using type = rate_loan;
+  static auto constexpr Create = Createrate_loan;
+};
+
+inline flatbuffers::Offset<rate_loan> Createrate_loanDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *customer = nullptr,
+    uint64_t loan = 0,
+    uint64_t held = 0) {
+  auto customer__ = customer ? _fbb.CreateString(customer) : 0;
+  return skylarkhoist::fbs::Createrate_loan(
+      _fbb,
+      customer__,
+      loan,
+      held);
+}
+
+flatbuffers::Offset<rate_loan> Createrate_loan(flatbuffers::FlatBufferBuilder &_fbb, const rate_loanT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct rate_requestT : public flatbuffers::NativeTable {
   typedef rate_request TableType;
   std::string customer{};
@@ -3096,6 +3222,15 @@
   uint64_t returned = 0;
   uint64_t held = 0;
   uint64_t wanted = 0;
+  uint64_t loan = 0;
+  uint64_t urgent = 0;
+  bool report = false;
+  uint32_t shard = 0;
+  std::vector<std::unique_ptr<skylarkhoist::fbs::rate_loanT>> loans{};
+  rate_requestT() = default;
+  rate_requestT(const rate_requestT &o);
+  rate_requestT(rate_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  rate_requestT &operator=(rate_requestT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct rate_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3109,7 +3244,12 @@
     VT_SPENT = 10,
     VT_RETURNED = 12,
     VT_HELD = 14,
-    VT_WANTED = 16
+    VT_WANTED = 16,
+    VT_LOAN = 18,
+    VT_URGENT = 20,
+    VT_REPORT = 22,
+    VT_SHARD = 24,
+    VT_LOANS = 26
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -3132,6 +3272,21 @@
   uint64_t wanted() const {
     return GetField<uint64_t>(VT_WANTED, 0);
   }
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  uint64_t urgent() const {
+    return GetField<uint64_t>(VT_URGENT, 0);
+  }
+  bool report() const {
+    return GetField<uint8_t>(VT_REPORT, 0) != 0;
+  }
+  uint32_t shard() const {
+    return GetField<uint32_t>(VT_SHARD, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rate_loan>> *loans() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rate_loan>> *>(VT_LOANS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
@@ -3142,6 +3297,13 @@
            VerifyField<uint64_t>(verifier, VT_RETURNED, 8) &&
            VerifyField<uint64_t>(verifier, VT_HELD, 8) &&
            VerifyField<uint64_t>(verifier, VT_WANTED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint64_t>(verifier, VT_URGENT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REPORT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_SHARD, 4) &&
+           VerifyOffset(verifier, VT_LOANS) &&
+           verifier.VerifyVector(loans()) &&
+           verifier.VerifyVectorOfTables(loans()) &&
            verifier.EndTable();
   }
   rate_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3174,6 +3336,21 @@
   void add_wanted(uint64_t wanted) {
     fbb_.AddElement<uint64_t>(rate_request::VT_WANTED, wanted, 0);
   }
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(rate_request::VT_LOAN, loan, 0);
+  }
+  void add_urgent(uint64_t urgent) {
+    fbb_.AddElement<uint64_t>(rate_request::VT_URGENT, urgent, 0);
+  }
+  void add_report(bool report) {
+    fbb_.AddElement<uint8_t>(rate_request::VT_REPORT, static_cast<uint8_t>(report), 0);
+  }
+  void add_shard(uint32_t shard) {
+    fbb_.AddElement<uint32_t>(rate_request::VT_SHARD, shard, 0);
+  }
+  void add_loans(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rate_loan>>> loans) {
+    fbb_.AddOffset(rate_request::VT_LOANS, loans);
+  }
   explicit rate_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3193,15 +3370,25 @@
     uint64_t spent = 0,
     uint64_t returned = 0,
     uint64_t held = 0,
-    uint64_t wanted = 0) {
+    uint64_t wanted = 0,
+    uint64_t loan = 0,
+    uint64_t urgent = 0,
+    bool report = false,
+    uint32_t shard = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rate_loan>>> loans = 0) {
   rate_requestBuilder builder_(_fbb);
+  builder_.add_urgent(urgent);
+  builder_.add_loan(loan);
   builder_.add_wanted(wanted);
   builder_.add_held(held);
   builder_.add_returned(returned);
   builder_.add_spent(spent);
   builder_.add_round(round);
   builder_.add_epoch(epoch);
+  builder_.add_loans(loans);
+  builder_.add_shard(shard);
   builder_.add_customer(customer);
+  builder_.add_report(report);
   return builder_.Finish();
 }
 
@@ -3218,8 +3405,14 @@
     uint64_t spent = 0,
     uint64_t returned = 0,
     uint64_t held = 0,
-    uint64_t wanted = 0) {
+    uint64_t wanted = 0,
+    uint64_t loan = 0,
+    uint64_t urgent = 0,
+    bool report = false,
+    uint32_t shard = 0,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::rate_loan>> *loans = nullptr) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
+  auto loans__ = loans ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::rate_loan>>(*loans) : 0;
   return skylarkhoist::fbs::Createrate_request(
       _fbb,
       customer__,
@@ -3228,7 +3421,12 @@
       spent,
       returned,
       held,
-      wanted);
+      wanted,
+      loan,
+      urgent,
+      report,
+      shard,
+      loans__);
 }
 
 flatbuffers::Offset<rate_request> Createrate_request(flatbuffers::FlatBufferBuilder &_fbb, const rate_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3242,6 +3440,11 @@
   uint32_t ttl_ms = 0;
   bool not_owner = false;
   std::string owner_address{};
+  uint64_t loan = 0;
+  bool closed = false;
+  bool recall = false;
+  uint32_t shard = 0;
+  bool want_back = false;
 };
 
 struct rate_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3255,7 +3458,12 @@
     VT_GRANTED = 10,
     VT_TTL_MS = 12,
     VT_NOT_OWNER = 14,
-    VT_OWNER_ADDRESS = 16
+    VT_OWNER_ADDRESS = 16,
+    VT_LOAN = 18,
+    VT_CLOSED = 20,
+    VT_RECALL = 22,
+    VT_SHARD = 24,
+    VT_WANT_BACK = 26
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -3278,6 +3486,21 @@
   const flatbuffers::String *owner_address() const {
     return GetPointer<const flatbuffers::String *>(VT_OWNER_ADDRESS);
   }
+  uint64_t loan() const {
+    return GetField<uint64_t>(VT_LOAN, 0);
+  }
+  bool closed() const {
+    return GetField<uint8_t>(VT_CLOSED, 0) != 0;
+  }
+  bool recall() const {
+    return GetField<uint8_t>(VT_RECALL, 0) != 0;
+  }
+  uint32_t shard() const {
+    return GetField<uint32_t>(VT_SHARD, 0);
+  }
+  bool want_back() const {
+    return GetField<uint8_t>(VT_WANT_BACK, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
@@ -3289,6 +3512,11 @@
            VerifyField<uint8_t>(verifier, VT_NOT_OWNER, 1) &&
            VerifyOffset(verifier, VT_OWNER_ADDRESS) &&
            verifier.VerifyString(owner_address()) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CLOSED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RECALL, 1) &&
+           VerifyField<uint32_t>(verifier, VT_SHARD, 4) &&
+           VerifyField<uint8_t>(verifier, VT_WANT_BACK, 1) &&
            verifier.EndTable();
   }
   rate_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3321,6 +3549,21 @@
   void add_owner_address(flatbuffers::Offset<flatbuffers::String> owner_address) {
     fbb_.AddOffset(rate_grant::VT_OWNER_ADDRESS, owner_address);
   }
+  void add_loan(uint64_t loan) {
+    fbb_.AddElement<uint64_t>(rate_grant::VT_LOAN, loan, 0);
+  }
+  void add_closed(bool closed) {
+    fbb_.AddElement<uint8_t>(rate_grant::VT_CLOSED, static_cast<uint8_t>(closed), 0);
+  }
+  void add_recall(bool recall) {
+    fbb_.AddElement<uint8_t>(rate_grant::VT_RECALL, static_cast<uint8_t>(recall), 0);
+  }
+  void add_shard(uint32_t shard) {
+    fbb_.AddElement<uint32_t>(rate_grant::VT_SHARD, shard, 0);
+  }
+  void add_want_back(bool want_back) {
+    fbb_.AddElement<uint8_t>(rate_grant::VT_WANT_BACK, static_cast<uint8_t>(want_back), 0);
+  }
   explicit rate_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3340,14 +3583,24 @@
     uint64_t granted = 0,
     uint32_t ttl_ms = 0,
     bool not_owner = false,
-    flatbuffers::Offset<flatbuffers::String> owner_address = 0) {
+    flatbuffers::Offset<flatbuffers::String> owner_address = 0,
+    uint64_t loan = 0,
+    bool closed = false,
+    bool recall = false,
+    uint32_t shard = 0,
+    bool want_back = false) {
   rate_grantBuilder builder_(_fbb);
+  builder_.add_loan(loan);
   builder_.add_granted(granted);
   builder_.add_round(round);
   builder_.add_epoch(epoch);
+  builder_.add_shard(shard);
   builder_.add_owner_address(owner_address);
   builder_.add_ttl_ms(ttl_ms);
   builder_.add_customer(customer);
+  builder_.add_want_back(want_back);
+  builder_.add_recall(recall);
+  builder_.add_closed(closed);
   builder_.add_not_owner(not_owner);
   return builder_.Finish();
 }
@@ -3365,7 +3618,12 @@
     uint64_t granted = 0,
     uint32_t ttl_ms = 0,
     bool not_owner = false,
-    const char *owner_address = nullptr) {
+    const char *owner_address = nullptr,
+    uint64_t loan = 0,
+    bool closed = false,
+    bool recall = false,
+    uint32_t shard = 0,
+    bool want_back = false) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto owner_address__ = owner_address ? _fbb.CreateString(owner_address) : 0;
   return skylarkhoist::fbs::Createrate_grant(
@@ -3376,7 +3634,12 @@
       granted,
       ttl_ms,
       not_owner,
-      owner_address__);
+      owner_address__,
+      loan,
+      closed,
+      recall,
+      shard,
+      want_back);
 }
 
 flatbuffers::Offset<rate_grant> Createrate_grant(flatbuffers::FlatBufferBuilder &_fbb, const rate_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5371,7 +5634,8 @@
       (lhs.roster_version == rhs.roster_version) &&
       (lhs.round == rhs.round) &&
       (lhs.epoch == rhs.epoch) &&
-      (lhs.release == rhs.release);
+      (lhs.release == rhs.release) &&
+      (lhs.group == rhs.group);
 }
 
 inline bool operator!=(const lease_requestT &lhs, const lease_requestT &rhs) {
@@ -5393,6 +5657,7 @@
   { auto _e = round(); _o->round = _e; }
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = release(); _o->release = _e; }
+  { auto _e = group(); _o->group = _e; }
 }
 
 inline flatbuffers::Offset<lease_request> lease_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const lease_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5408,13 +5673,15 @@
   auto _round = _o->round;
   auto _epoch = _o->epoch;
   auto _release = _o->release;
+  auto _group = _o->group;
   return skylarkhoist::fbs::Createlease_request(
       _fbb,
       _shard,
       _roster_version,
       _round,
       _epoch,
-      _release);
+      _release,
+      _group);
 }
 
 
@@ -5426,7 +5693,8 @@
       (lhs.granted == rhs.granted) &&
       (lhs.epoch == rhs.epoch) &&
       (lhs.holder == rhs.holder) &&
-      (lhs.wait_ms == rhs.wait_ms);
+      (lhs.wait_ms == rhs.wait_ms) &&
+      (lhs.holder_version == rhs.holder_version);
 }
 
 inline bool operator!=(const lease_grantT &lhs, const lease_grantT &rhs) {
@@ -5450,6 +5718,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = holder(); _o->holder = _e; }
   { auto _e = wait_ms(); _o->wait_ms = _e; }
+  { auto _e = holder_version(); _o->holder_version = _e; }
 }
 
 inline flatbuffers::Offset<lease_grant> lease_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const lease_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5467,6 +5736,7 @@
   auto _epoch = _o->epoch;
   auto _holder = _o->holder;
   auto _wait_ms = _o->wait_ms;
+  auto _holder_version = _o->holder_version;
   return skylarkhoist::fbs::Createlease_grant(
       _fbb,
       _shard,
@@ -5475,7 +5745,53 @@
       _granted,
       _epoch,
       _holder,
-      _wait_ms);
+      _wait_ms,
+      _holder_version);
+}
+
+
+inline bool operator==(const rate_loanT &lhs, const rate_loanT &rhs) {
+  return
+      (lhs.customer == rhs.customer) &&
+      (lhs.loan == rhs.loan) &&
+      (lhs.held == rhs.held);
+}
+
+inline bool operator!=(const rate_loanT &lhs, const rate_loanT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline rate_loanT *rate_loan::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<rate_loanT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rate_loan::UnPackTo(rate_loanT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = customer(); if (_e) _o->customer = _e->str(); }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = held(); _o->held = _e; }
+}
+
+inline flatbuffers::Offset<rate_loan> rate_loan::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rate_loanT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrate_loan(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rate_loan> Createrate_loan(flatbuffers::FlatBufferBuilder &_fbb, const rate_loanT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rate_loanT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
+  auto _loan = _o->loan;
+  auto _held = _o->held;
+  return skylarkhoist::fbs::Createrate_loan(
+      _fbb,
+      _customer,
+      _loan,
+      _held);
 }
 
 
@@ -5487,7 +5803,12 @@
       (lhs.spent == rhs.spent) &&
       (lhs.returned == rhs.returned) &&
       (lhs.held == rhs.held) &&
-      (lhs.wanted == rhs.wanted);
+      (lhs.wanted == rhs.wanted) &&
+      (lhs.loan == rhs.loan) &&
+      (lhs.urgent == rhs.urgent) &&
+      (lhs.report == rhs.report) &&
+      (lhs.shard == rhs.shard) &&
+      (lhs.loans.size() == rhs.loans.size() && std::equal(lhs.loans.cbegin(), lhs.loans.cend(), rhs.loans.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::rate_loanT> const &a, std::unique_ptr<skylarkhoist::fbs::rate_loanT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const rate_requestT &lhs, const rate_requestT &rhs) {
@@ -5495,6 +5816,38 @@
 }
 
 
+inline rate_requestT::rate_requestT(const rate_requestT &o)
+      : customer(o.customer),
+        epoch(o.epoch),
+        round(o.round),
+        spent(o.spent),
+        returned(o.returned),
+        held(o.held),
+        wanted(o.wanted),
+        loan(o.loan),
+        urgent(o.urgent),
+        report(o.report),
+        shard(o.shard) {
+  loans.reserve(o.loans.size());
+  for (const auto &loans_ : o.loans) { loans.emplace_back((loans_) ? new skylarkhoist::fbs::rate_loanT(*loans_) : nullptr); }
+}
+
+inline rate_requestT &rate_requestT::operator=(rate_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(customer, o.customer);
+  std::swap(epoch, o.epoch);
+  std::swap(round, o.round);
+  std::swap(spent, o.spent);
+  std::swap(returned, o.returned);
+  std::swap(held, o.held);
+  std::swap(wanted, o.wanted);
+  std::swap(loan, o.loan);
+  std::swap(urgent, o.urgent);
+  std::swap(report, o.report);
+  std::swap(shard, o.shard);
+  std::swap(loans, o.loans);
+  return *this;
+}
+
 inline rate_requestT *rate_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<rate_requestT>();
   UnPackTo(_o.get(), _resolver);
@@ -5511,6 +5864,11 @@
   { auto _e = returned(); _o->returned = _e; }
   { auto _e = held(); _o->held = _e; }
   { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = urgent(); _o->urgent = _e; }
+  { auto _e = report(); _o->report = _e; }
+  { auto _e = shard(); _o->shard = _e; }
+  { auto _e = loans(); if (_e) { _o->loans.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loans[_i] = std::unique_ptr<skylarkhoist::fbs::rate_loanT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<rate_request> rate_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rate_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5528,6 +5886,11 @@
   auto _returned = _o->returned;
   auto _held = _o->held;
   auto _wanted = _o->wanted;
+  auto _loan = _o->loan;
+  auto _urgent = _o->urgent;
+  auto _report = _o->report;
+  auto _shard = _o->shard;
+  auto _loans = _o->loans.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::rate_loan>> (_o->loans.size(), [](size_t i, _VectorArgs *__va) { return Createrate_loan(*__va->__fbb, __va->__o->loans[i].get(), __va->__rehasher); }, &_va ) : 0;
   return skylarkhoist::fbs::Createrate_request(
       _fbb,
       _customer,
@@ -5536,7 +5899,12 @@
       _spent,
       _returned,
       _held,
-      _wanted);
+      _wanted,
+      _loan,
+      _urgent,
+      _report,
+      _shard,
+      _loans);
 }
 
 
@@ -5548,7 +5916,12 @@
       (lhs.granted == rhs.granted) &&
       (lhs.ttl_ms == rhs.ttl_ms) &&
       (lhs.not_owner == rhs.not_owner) &&
-      (lhs.owner_address == rhs.owner_address);
+      (lhs.owner_address == rhs.owner_address) &&
+      (lhs.loan == rhs.loan) &&
+      (lhs.closed == rhs.closed) &&
+      (lhs.recall == rhs.recall) &&
+      (lhs.shard == rhs.shard) &&
+      (lhs.want_back == rhs.want_back);
 }
 
 inline bool operator!=(const rate_grantT &lhs, const rate_grantT &rhs) {
@@ -5572,6 +5945,11 @@
   { auto _e = ttl_ms(); _o->ttl_ms = _e; }
   { auto _e = not_owner(); _o->not_owner = _e; }
   { auto _e = owner_address(); if (_e) _o->owner_address = _e->str(); }
+  { auto _e = loan(); _o->loan = _e; }
+  { auto _e = closed(); _o->closed = _e; }
+  { auto _e = recall(); _o->recall = _e; }
+  { auto _e = shard(); _o->shard = _e; }
+  { auto _e = want_back(); _o->want_back = _e; }
 }
 
 inline flatbuffers::Offset<rate_grant> rate_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rate_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5589,6 +5967,11 @@
   auto _ttl_ms = _o->ttl_ms;
   auto _not_owner = _o->not_owner;
   auto _owner_address = _o->owner_address.empty() ? 0 : _fbb.CreateString(_o->owner_address);
+  auto _loan = _o->loan;
+  auto _closed = _o->closed;
+  auto _recall = _o->recall;
+  auto _shard = _o->shard;
+  auto _want_back = _o->want_back;
   return skylarkhoist::fbs::Createrate_grant(
       _fbb,
       _customer,
@@ -5597,7 +5980,12 @@
       _granted,
       _ttl_ms,
       _not_owner,
-      _owner_address);
+      _owner_address,
+      _loan,
+      _closed,
+      _recall,
+      _shard,
+      _want_back);
 }
 
 
