Compose the rate service into the node

Cause: the node took no tokens from the rate service. Change: the entry asks the rate service; the node forwards configuration, roster, leases, loans and link events to it. Before: rates were not enforced.

--- a/node/node.cc
+++ b/node/node.cc
@@ -52,6 +52,13 @@
   return result;
 }
 
+rate_service_options RateOptions(const node_options& options) {
+  rate_service_options result;
+  result.incarnation = options.incarnation;
+  result.address = options.peer_address;
+  return result;
+}
+
 peer_info SelfInfo(const node_options& options) {
   return {options.peer_address, options.name, options.zone,
           options.incarnation};
@@ -114,12 +121,20 @@
           FollowerOptions(options_),
           [this] { return members_.LivePeers(); },
           parts.counters),
+      rates_(parts.run_loop,
+             &transport_,
+             RateOptions(options_),
+             parts.counters),
       dedup_(parts.run_loop,
              &transport_,
              DedupOptions(options_),
              parts.wall,
              parts.counters) {
   entry_.SetDedupService(&dedup_);
+  entry_.SetRateAcquire([this](const std::string& customer, time_point deadline,
+                               std::function<void(reason)> done) {
+    rates_.Acquire(customer, deadline, std::move(done));
+  });
   config_.OnChange([this] { OnConfigChange(); });
   members_.OnPeerOffset([this](const std::string& address, uint64_t offset) {
     config_.NotePeerOffset(address, offset);
@@ -153,6 +168,8 @@
   executor_.SetConfig(config_.view());
   members_.SetRoster(config_.roster());
   dedup_.SetRoster(config_.roster());
+  rates_.SetConfig(config_.view());
+  rates_.SetRoster(config_.roster());
   members_.SetAppliedOffset(config_.applied_offset());
 }
 
@@ -298,6 +315,14 @@
     executor_.HandleSuspect(*suspect);
   else if (const auto* beat = body.Asheartbeat())
     OnHeartbeat(from, *beat);
+  else if (const auto* lease = body.Aslease_request())
+    rates_.HandleLeaseRequest(from, *lease);
+  else if (const auto* grant = body.Aslease_grant())
+    rates_.HandleLeaseGrant(from, *grant);
+  else if (const auto* borrow = body.Asrate_request())
+    rates_.HandleRateRequest(from, *borrow);
+  else if (const auto* loan = body.Asrate_grant())
+    rates_.HandleRateGrant(from, *loan);
   else
     dedup_.OnPeerMessage(from, message);
 }
@@ -305,6 +330,7 @@
 void node::OnHeartbeat(const peer_info& from, const fbs::heartbeatT& beat) {
   config_.NotePeerOffset(from.address, beat.applied_offset);
   dedup_.OnPeerVersion(from.incarnation, beat.roster_version);
+  rates_.OnPeerVersion(from.incarnation, beat.roster_version);
 }
 
 void node::OnLinkUp(const peer_info& peer) {
@@ -318,8 +344,12 @@
   entry_.OnLinkDown(peer, cause);
   const bool process_ended = cause == link_down_cause::kRefused ||
                              cause == link_down_cause::kReplaced;
-  if (process_ended)
+  if (process_ended) {
     dedup_.OnPeerGone(peer.address, peer.incarnation);
+    rates_.OnPeerGone(peer.address, peer.incarnation);
+  } else {
+    rates_.OnLinkLost(peer.address);
+  }
 }
 
 fbs::heartbeatT node::MakeHeartbeat() {
@@ -352,7 +382,9 @@
   parts_.run_loop->RunAfter(options_.drain_grace, [this] {
     entry_.StopAccepting();
     executor_.Drain([this] {
-      entry_.Drain([this] { dedup_.Drain([this] { FinishDrain(); }); });
+      entry_.Drain([this] {
+        rates_.Drain([this] { dedup_.Drain([this] { FinishDrain(); }); });
+      });
     });
   });
   executor_.StopAccepting();
--- a/node/node.h
+++ b/node/node.h
@@ -16,6 +16,7 @@
 #include "node/executor.h"
 #include "node/loopback_transport.h"
 #include "node/membership.h"
+#include "node/rate_service.h"
 #include "wire/log_client.h"
 #include "wire/peer_transport.h"
 #include "wire/target_client.h"
@@ -104,6 +105,7 @@
   executor executor_;
   entry entry_;
   config_follower config_;
+  rate_service rates_;
   dedup_service dedup_;
   bool joining_ = false;
   bool draining_ = false;
