--- a/kernel/json_schema.cc
+++ b/kernel/json_schema.cc
@@ -121,9 +121,9 @@
       ReportNames(at, &found);
       continue;
     }
-    // valijson also reports the list around a bad item.
+    // valijson also reports the list or object around a bad item.
     const bool around =
-        at.value->is_array() &&
+        at.value->is_structured() &&
         std::any_of(results.begin(), results.end(), [&](const auto& other) {
           return other.context.size() > error.context.size() &&
                  std::equal(error.context.begin(), error.context.end(),
