Add learned limits, fair queues and fake targets

Cause: the gate had a counter as its limit and a plain queue. Change: plug-in interfaces concurrency_limit (gradient, static) and request_queue (fair, fifo), used by target_gate. The gradient limit measures the unloaded latency at low concurrency instead of a minimum, stays at the cold capacity for 3 s and 10 successes a slot, and returns there on errors, sheds or a latency twice as high. OnFinished takes the time spent on child calls. fake_targets stands in for targets on any loop.

--- /dev/null
+++ b/decisions/concurrency_limit.h
@@ -0,0 +1,55 @@
+#ifndef DECISIONS_CONCURRENCY_LIMIT_H_
+#define DECISIONS_CONCURRENCY_LIMIT_H_
+
+#include "kernel/registry.h"
+#include "kernel/time.h"
+
+namespace skylarkhoist {
+
+enum class gate_result {
+  kSuccess,
+  // The target refused for load, before it did any work.
+  kShed,
+  // Error, timeout or broken connection.
+  kError,
+  // The caller gave up; says nothing about the target.
+  kCancelled,
+};
+
+struct limit_options {
+  // Calls that a target bears at the same time right after its start.
+  int cold_capacity = 4;
+  // Upper bound of a learned limit, and the value of a static one.
+  int max_limit = 1000;
+};
+
+// One finished call.
+struct limit_sample {
+  gate_result result = gate_result::kSuccess;
+  time_point started;
+  // Time that the target itself took, without waits for its child calls.
+  duration latency = duration::zero();
+  // Calls in progress when this one was handed over, with itself.
+  int running = 1;
+};
+
+// How many calls a target may have in progress. Plug-ins register under a name.
+class concurrency_limit {
+ public:
+  virtual ~concurrency_limit() = default;
+
+  // At least 1.
+  virtual int Limit() const = 0;
+  virtual void OnFinished(const limit_sample& sample, time_point now) = 0;
+  // The target restarted.
+  virtual void ResetCold(time_point now) = 0;
+  virtual void Update(const limit_options& options) = 0;
+  // Average time that a call takes now; zero when unknown.
+  virtual duration Latency() const = 0;
+};
+
+using limit_registry = registry<concurrency_limit, const limit_options&>;
+
+}  // namespace skylarkhoist
+
+#endif  // DECISIONS_CONCURRENCY_LIMIT_H_
--- a/decisions/target_gate.cc
+++ b/decisions/target_gate.cc
@@ -1,88 +1,108 @@
 #include "decisions/target_gate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace skylarkhoist {
+namespace {
 
-target_gate::target_gate(const service_config& settings, time_point /*now*/)
-    : settings_(settings), limit_(settings.cold_capacity) {}
+// Waiting calls for each slot of the limit. More would only wait until their
+// bound; the spare ones let a target in its cold state hold a short burst.
+constexpr size_t kQueuePerSlot = 4;
+constexpr size_t kSpareQueue = 32;
+
+limit_options LimitOptions(const service_config& settings) {
+  return {settings.cold_capacity, settings.max_limit};
+}
+
+}  // namespace
+
+target_gate::target_gate(const service_config& settings,
+                         time_point /*now*/,
+                         const gate_plugins& plugins)
+    : settings_(settings),
+      limit_(limit_registry::Create(plugins.limit, LimitOptions(settings))),
+      queue_(queue_registry::Create(plugins.order, queue_options())) {
+  if (limit_ == nullptr)
+    limit_ = limit_registry::Create("gradient", LimitOptions(settings));
+  if (queue_ == nullptr)
+    queue_ = queue_registry::Create("fair", queue_options());
+  BoundQueue();
+}
+
+void target_gate::BoundQueue() {
+  queue_options options;
+  options.bound = settings_.queue_bound;
+  options.max_length =
+      static_cast<size_t>(limit_->Limit()) * kQueuePerSlot + kSpareQueue;
+  queue_->Update(options);
+}
 
 std::optional<reason> target_gate::Enqueue(gate_call call, time_point now) {
   if (call.deadline <= now)
     return reason::kDeadlineBeforeRun;
-  queue_.push_back({std::move(call), now});
-  return std::nullopt;
+  return queue_->Push(std::move(call), now);
 }
 
 std::optional<gate_call> target_gate::TakeNext(time_point now) {
-  while (!queue_.empty() && running_.size() < static_cast<size_t>(limit_)) {
-    gate_call call = std::move(queue_.front().call);
-    queue_.pop_front();
-    if (call.deadline <= now) {
-      refused_.push_back({call.id, reason::kDeadlineBeforeRun});
-      continue;
-    }
-    running_.emplace_back(call.id, now);
-    return call;
+  if (running_.size() >= static_cast<size_t>(limit_->Limit()))
+    return std::nullopt;
+  // Half of the usual time leaves room for calls that are quicker than most.
+  std::optional<gate_call> next = queue_->Pop(now, limit_->Latency() / 2);
+  if (next) {
+    running_[next->id] = {now, static_cast<int>(running_.size()) + 1};
   }
-  return std::nullopt;
+  return next;
 }
 
 std::vector<gate_refusal> target_gate::TakeRefused(time_point now) {
-  while (!queue_.empty() &&
-         queue_.front().since + settings_.queue_bound <= now) {
-    refused_.push_back({queue_.front().call.id, reason::kQueueTimeout});
-    queue_.pop_front();
-  }
-  return std::exchange(refused_, {});
+  return queue_->TakeRefused(now);
 }
 
 void target_gate::OnFinished(const request_id& id,
                              gate_result result,
-                             time_point /*now*/) {
-  running_.erase(
-      std::remove_if(running_.begin(), running_.end(),
-                     [&](const auto& run) { return run.first == id; }),
-      running_.end());
-  if (result == gate_result::kSuccess)
-    limit_ = std::min(limit_ + 1, settings_.max_limit);
+                             time_point now,
+                             duration elsewhere) {
+  const auto found = running_.find(id);
+  if (found == running_.end())
+    return;
+  limit_sample sample;
+  sample.result = result;
+  sample.started = found->second.started;
+  sample.latency = std::max(now - sample.started - elsewhere, duration::zero());
+  sample.running = found->second.running;
+  running_.erase(found);
+  limit_->OnFinished(sample, now);
+  BoundQueue();
 }
 
 bool target_gate::Remove(const request_id& id) {
-  const auto found =
-      std::find_if(queue_.begin(), queue_.end(),
-                   [&](const auto& waiting) { return waiting.call.id == id; });
-  if (found == queue_.end())
-    return false;
-  queue_.erase(found);
-  return true;
+  return queue_->Remove(id);
 }
 
 std::vector<request_id> target_gate::RemoveAll() {
-  std::vector<request_id> ids;
-  for (const waiting_call& waiting : queue_)
-    ids.push_back(waiting.call.id);
-  queue_.clear();
-  return ids;
+  return queue_->RemoveAll();
 }
 
-void target_gate::ResetCold(time_point /*now*/) {
-  limit_ = settings_.cold_capacity;
+void target_gate::ResetCold(time_point now) {
+  limit_->ResetCold(now);
+  BoundQueue();
 }
 
 void target_gate::UpdateSettings(const service_config& settings) {
   settings_ = settings;
+  limit_->Update(LimitOptions(settings));
+  BoundQueue();
 }
 
 std::optional<time_point> target_gate::NextDeadline() const {
-  if (queue_.empty())
-    return std::nullopt;
-  return queue_.front().since + settings_.queue_bound;
+  return queue_->NextDeadline();
 }
 
 uint32_t target_gate::LoadPermille() const {
-  const size_t used = running_.size() + queue_.size();
-  return static_cast<uint32_t>(used * 1000 / std::max(limit_, 1));
+  const size_t used = running_.size() + queue_->size();
+  return static_cast<uint32_t>(used * 1000 /
+                               static_cast<size_t>(limit_->Limit()));
 }
 
 }  // namespace skylarkhoist
--- a/decisions/target_gate.h
+++ b/decisions/target_gate.h
@@ -2,44 +2,25 @@
 #define DECISIONS_TARGET_GATE_H_
 
 #include <cstdint>
-#include <deque>
+#include <memory>
 #include <optional>
 #include <string>
-#include <utility>
+#include <unordered_map>
 #include <vector>
 
+#include "decisions/concurrency_limit.h"
 #include "decisions/config_view.h"
 #include "decisions/reason.h"
+#include "decisions/request_queue.h"
 #include "decisions/request_types.h"
 #include "kernel/time.h"
 
 namespace skylarkhoist {
 
-// A call that waits for its target.
-struct gate_call {
-  request_id id;
-  priority_class rank = priority_class::kNormal;
-  // Part of a chain that was admitted already; goes before new calls of its
-  // class.
-  bool admitted = false;
-  std::string customer;
-  double weight = 1.0;
-  time_point deadline;
-};
-
-enum class gate_result {
-  kSuccess,
-  // The target refused for load, before it did any work.
-  kShed,
-  // Error, timeout or broken connection.
-  kError,
-  // The caller gave up; says nothing about the target.
-  kCancelled,
-};
-
-struct gate_refusal {
-  request_id id;
-  reason why = reason::kQueueTimeout;
+// Plug-ins of a gate by name. Unknown names give the defaults.
+struct gate_plugins {
+  std::string limit = "gradient";
+  std::string order = "fair";
 };
 
 // Decides which calls one target gets and when: a queue in front of a
@@ -54,7 +35,9 @@
 // when the last of them was taken.
 class target_gate {
  public:
-  target_gate(const service_config& settings, time_point now);
+  target_gate(const service_config& settings,
+              time_point now,
+              const gate_plugins& plugins = {});
 
   // Returns why the call is refused at once, or nothing when it waits.
   std::optional<reason> Enqueue(gate_call call, time_point now);
@@ -67,8 +50,13 @@
   // past the bound on waiting, or shed for others. Each is returned once.
   std::vector<gate_refusal> TakeRefused(time_point now);
 
-  // Reports the end of a call that TakeNext returned.
-  void OnFinished(const request_id& id, gate_result result, time_point now);
+  // Reports the end of a call that TakeNext returned. `elsewhere` is the time
+  // during which the call waited for child calls that it made; without it, a
+  // slow service further down looks like a slow target.
+  void OnFinished(const request_id& id,
+                  gate_result result,
+                  time_point now,
+                  duration elsewhere = duration::zero());
 
   // Takes a waiting call out, for example because its caller has gone. Returns
   // false when it does not wait here.
@@ -85,24 +73,27 @@
   // When the earliest waiting call must be refused, if any waits.
   std::optional<time_point> NextDeadline() const;
 
-  int limit() const { return limit_; }
+  int limit() const { return limit_->Limit(); }
   size_t running() const { return running_.size(); }
-  size_t waiting() const { return queue_.size(); }
+  size_t waiting() const { return queue_->size(); }
 
   // Load in permille of the limit, counting waiting calls; 1000 means full.
   uint32_t LoadPermille() const;
 
  private:
-  struct waiting_call {
-    gate_call call;
-    time_point since;
+  struct running_call {
+    time_point started;
+    // Calls in progress at that time, with this one.
+    int running = 0;
   };
 
+  // The queue may hold some times the calls that the target runs at once.
+  void BoundQueue();
+
   service_config settings_;
-  int limit_;
-  std::deque<waiting_call> queue_;
-  std::vector<std::pair<request_id, time_point>> running_;
-  std::vector<gate_refusal> refused_;
+  std::unique_ptr<concurrency_limit> limit_;
+  std::unique_ptr<request_queue> queue_;
+  std::unordered_map<request_id, running_call, request_id_hash> running_;
 };
 
 }  // namespace skylarkhoist
--- /dev/null
+++ b/decisions/target_gate_test.cc
@@ -0,0 +1,293 @@
+#include "decisions/target_gate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+#include "testing/fake_targets.h"
+#include "testing/manual_loop.h"
+
+namespace skylarkhoist {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kAddress[] = "10.0.0.1:80";
+
+// One gate in front of one fake target, with calls waiting at all times.
+struct saturated_target {
+  explicit saturated_target(const fake_target_options& options,
+                            uint64_t seed = 1)
+      : targets(loop, seed), gate(Settings(options), loop.Now()) {
+    targets.Add(kAddress, options);
+    Fill();
+  }
+
+  static service_config Settings(const fake_target_options& options) {
+    service_config settings;
+    settings.cold_capacity = options.cold_capacity;
+    return settings;
+  }
+
+  void Fill() {
+    gate.TakeRefused(loop.Now());
+    while (gate.waiting() < static_cast<size_t>(gate.limit())) {
+      gate_call call;
+      call.id = {1, ++sequence};
+      call.deadline = loop.Now() + seconds(60);
+      if (gate.Enqueue(call, loop.Now()))
+        break;
+    }
+    while (auto next = gate.TakeNext(loop.Now())) {
+      targets.Call(kAddress, {}, seconds(10),
+                   [this, id = next->id](const target_result& result) {
+                     if (result.error == target_error::kConnectRefused) {
+                       gate.ResetCold(loop.Now());
+                     }
+                     gate.OnFinished(id,
+                                     result.error == target_error::kNone
+                                         ? gate_result::kSuccess
+                                         : gate_result::kError,
+                                     loop.Now());
+                     if (result.error == target_error::kNone)
+                       Fill();
+                   });
+    }
+    if (loop.Now() >= next_fill) {
+      next_fill = loop.Now() + milliseconds(1);
+      loop.RunAfter(milliseconds(1), [this] { Fill(); });
+    }
+  }
+
+  // Average limit over `span`, from samples each 100 ms.
+  double AverageLimit(duration span) {
+    double sum = 0;
+    int count = 0;
+    for (const time_point end = loop.Now() + span; loop.Now() < end; ++count) {
+      loop.Advance(milliseconds(100));
+      sum += gate.limit();
+    }
+    return sum / count;
+  }
+
+  manual_loop loop;
+  fake_targets targets;
+  target_gate gate;
+  uint64_t sequence = 0;
+  time_point next_fill;
+};
+
+fake_target_options Target(int slots, milliseconds service_time) {
+  fake_target_options options;
+  options.slots = slots;
+  options.service_time = service_time;
+  options.connections = slots * 7;
+  options.cold_capacity = std::max(slots / 8, 2);
+  return options;
+}
+
+TEST_GROUP(concurrency_limit){};
+
+// Guards against limits that have to be configured by hand. "About" is taken
+// as 15%.
+TEST(concurrency_limit, FindsTheSlots) {
+  for (const int slots : {120, 160, 15, 90, 130, 20}) {
+    for (const int service_time : {10, 40}) {
+      saturated_target run(Target(slots, milliseconds(service_time)));
+      run.loop.Advance(seconds(12));
+      const double found = run.AverageLimit(seconds(8));
+      if (found < slots * 0.85 || found > slots * 1.15) {
+        FAIL(StringFromFormat("%d slots, %d ms: limit %.1f", slots,
+                              service_time, found)
+                 .asCharString());
+      }
+    }
+  }
+}
+
+// Guards against a limit that takes a slow spell for queueing, cuts the
+// concurrency and multiplies the loss.
+TEST(concurrency_limit, SlowSpellKeepsTheConcurrency) {
+  for (const double factor : {1.5, 3.0, 5.0}) {
+    saturated_target run(Target(120, milliseconds(20)));
+    run.loop.Advance(seconds(20));
+    run.targets.SlowDown(kAddress, factor, seconds(20));
+    run.loop.Advance(seconds(10));
+    const double during = run.AverageLimit(seconds(10));
+    run.loop.Advance(seconds(2));
+    const double after = run.AverageLimit(seconds(5));
+    if (during < 100 || during > 140 || after < 100 || after > 140) {
+      FAIL(StringFromFormat("factor %.1f: limit %.1f during, %.1f after",
+                            factor, during, after)
+               .asCharString());
+    }
+  }
+}
+
+// Guards against killing a target that has just started, or that has lost its
+// warm state without a sign: I5.
+TEST(concurrency_limit, NeverAboveColdCapacityWhileCold) {
+  for (const uint64_t seed : {1, 2, 3}) {
+    saturated_target run(Target(120, milliseconds(20)), seed);
+    run.loop.Advance(seconds(20));
+    CHECK_EQUAL(0, run.targets.counters(kAddress).cold_over);
+    CHECK_FALSE(run.targets.IsCold(kAddress));
+    run.targets.TurnCold(kAddress);
+    run.loop.Advance(seconds(3));
+    CHECK_EQUAL(15, run.gate.limit());
+    run.loop.Advance(seconds(20));
+    CHECK_EQUAL(0, run.targets.counters(kAddress).cold_over_after_sign);
+    CHECK_TRUE(run.gate.limit() > 90);
+  }
+}
+
+// Guards against a cold start that ends by time alone, without proof that the
+// target bears load.
+TEST(concurrency_limit, GrowsOnlyBySuccesses) {
+  service_config settings;
+  settings.cold_capacity = 8;
+  manual_loop loop;
+  target_gate gate(settings, loop.Now());
+  CHECK_EQUAL(8, gate.limit());
+  loop.Advance(seconds(60));
+  for (uint64_t i = 0; i < 1000; ++i) {
+    gate_call call;
+    call.id = {1, i};
+    call.deadline = loop.Now() + seconds(5);
+    gate.Enqueue(call, loop.Now());
+    CHECK_TRUE(gate.TakeNext(loop.Now()).has_value());
+    loop.Advance(milliseconds(20));
+    gate.OnFinished(call.id,
+                    i % 2 == 0 ? gate_result::kError : gate_result::kCancelled,
+                    loop.Now());
+    CHECK_EQUAL(8, gate.limit());
+  }
+}
+
+TEST_GROUP(target_gate) {
+  service_config settings;
+  time_point now{std::chrono::hours(1)};
+
+  gate_call Call(uint64_t sequence, const std::string& customer,
+                 priority_class rank = priority_class::kNormal,
+                 bool admitted = false, double weight = 1.0) {
+    gate_call call;
+    call.id = {1, sequence};
+    call.customer = customer;
+    call.rank = rank;
+    call.admitted = admitted;
+    call.weight = weight;
+    call.deadline = now + seconds(10);
+    return call;
+  }
+
+  // Takes the next call and ends it.
+  uint64_t Next(target_gate & gate) {
+    const auto next = gate.TakeNext(now);
+    if (!next)
+      return 0;
+    gate.OnFinished(next->id, gate_result::kCancelled, now);
+    return next->id.sequence;
+  }
+};
+
+// Guards against deposits behind browsing requests, and against losing the work
+// of a parent whose child waits behind new calls.
+TEST(target_gate, OrdersByClassThenAdmitted) {
+  target_gate gate(settings, now);
+  using rank = priority_class;
+  const std::vector<gate_call> calls = {
+      Call(1, "a", rank::kBrowse),       Call(2, "a", rank::kNormal),
+      Call(3, "a", rank::kCritical),     Call(4, "a", rank::kBrowse, true),
+      Call(5, "a", rank::kNormal, true), Call(6, "a", rank::kCritical, true)};
+  for (const gate_call& call : calls)
+    CHECK_FALSE(gate.Enqueue(call, now).has_value());
+  for (const uint64_t expected : {6, 3, 5, 2, 4, 1})
+    CHECK_EQUAL(expected, Next(gate));
+}
+
+// Guards against a customer that takes the whole target with a long queue.
+TEST(target_gate, SharesByWeight) {
+  target_gate gate(settings, now);
+  for (uint64_t i = 0; i < 30; ++i) {
+    gate.Enqueue(Call(100 + i, "large"), now);
+    if (i < 8) {
+      gate.Enqueue(Call(200 + i, "small"), now);
+      gate.Enqueue(Call(300 + i, "heavy", priority_class::kNormal, false, 2.0),
+                   now);
+    }
+  }
+  int taken[4] = {};
+  for (int i = 0; i < 16; ++i)
+    ++taken[Next(gate) / 100];
+  CHECK_EQUAL(4, taken[1]);
+  CHECK_EQUAL(4, taken[2]);
+  CHECK_EQUAL(8, taken[3]);
+}
+
+// Guards against a queue whose calls all wait their full bound, so that each
+// call served is an old one.
+TEST(target_gate, LastingOverloadServesTheNewestWithinAShortBound) {
+  settings.cold_capacity = 100;
+  target_gate gate(settings, now);
+  uint64_t sequence = 0;
+  for (int i = 0; i < 150; ++i, now += milliseconds(1)) {
+    gate.Enqueue(Call(++sequence, "a"), now);
+    gate.Enqueue(Call(1000 + sequence, "a", priority_class::kCritical), now);
+    gate.TakeRefused(now);
+  }
+  // Critical calls keep their order and the full bound.
+  CHECK_EQUAL(1001, Next(gate));
+  for (int i = 0; i < 149; ++i)
+    CHECK_TRUE(Next(gate) > 1000);
+  CHECK_EQUAL(150, Next(gate));
+  now += milliseconds(51);
+  CHECK_EQUAL(49, gate.TakeRefused(now).size());
+  CHECK_EQUAL(0, gate.waiting());
+}
+
+// Guards against refusals of all calls when the queue is full, whoever filled
+// it.
+TEST(target_gate, FullQueueDropsTheLeastImportant) {
+  settings.cold_capacity = 1;  // Length 4 + 32.
+  target_gate gate(settings, now);
+  for (uint64_t i = 1; i <= 36; ++i)
+    CHECK_FALSE(
+        gate.Enqueue(Call(i, "a", priority_class::kBrowse), now).has_value());
+  CHECK_TRUE(gate.Enqueue(Call(40, "a", priority_class::kBrowse), now) ==
+             reason::kQueueFull);
+  CHECK_FALSE(
+      gate.Enqueue(Call(41, "b", priority_class::kBrowse), now).has_value());
+  CHECK_FALSE(gate.Enqueue(Call(42, "a"), now).has_value());
+  const auto refused = gate.TakeRefused(now);
+  CHECK_EQUAL(2, refused.size());
+  CHECK_EQUAL(1, refused[0].id.sequence);
+  CHECK_TRUE(refused[0].why == reason::kQueueFull);
+  CHECK_EQUAL(36, gate.waiting());
+}
+
+// Guards against work for calls that end after their deadline, and against
+// timers that miss a refusal.
+TEST(target_gate, DropsCallsThatMissTheirDeadline) {
+  target_gate gate(settings, now);
+  gate_call late = Call(1, "a");
+  late.deadline = now + milliseconds(20);
+  gate.Enqueue(late, now);
+  gate.Enqueue(Call(2, "a"), now);
+  CHECK_TRUE(gate.NextDeadline() <= now + milliseconds(20));
+  now += milliseconds(20);
+  CHECK_EQUAL(2, Next(gate));
+  const auto refused = gate.TakeRefused(now);
+  CHECK_EQUAL(1, refused.size());
+  CHECK_TRUE(refused[0].why == reason::kDeadlineBeforeRun);
+  CHECK_FALSE(gate.Remove({1, 2}));
+  gate.Enqueue(Call(3, "a"), now);
+  gate.Enqueue(Call(4, "b"), now);
+  CHECK_TRUE(gate.Remove({1, 3}));
+  CHECK_EQUAL(1, gate.RemoveAll().size());
+  CHECK_FALSE(gate.NextDeadline().has_value());
+}
+
+}  // namespace
+}  // namespace skylarkhoist
