--- a/testing/fake_targets.cc
+++ b/testing/fake_targets.cc
@@ -85,6 +85,10 @@
   loop_.Cancel(at.restart);
 }
 
+bool fake_targets::IsUp(const std::string& address) const {
+  return targets_.at(address).up;
+}
+
 bool fake_targets::IsCold(const std::string& address) const {
   return targets_.at(address).cold;
 }
@@ -280,6 +284,3 @@
 }
 
 }  // namespace skylarkhoist
-namespace skylarkhoist {
-bool fake_targets::IsUp(const std::string& address) const { return targets_.at(address).up; }
-}
--- a/testing/fake_targets.h
+++ b/testing/fake_targets.h
@@ -95,6 +95,7 @@
   // Refuses connections until Crash or for good; calls in progress go on.
   void Close(const std::string& address);
 
+  // False between a crash and the end of its restart.
   bool IsUp(const std::string& address) const;
   bool IsCold(const std::string& address) const;
   int running(const std::string& address) const;
