--- /dev/null
+++ b/cli/node_process.cc
@@ -0,0 +1,155 @@
+#include "cli/node_process.h"
+
+#include <csignal>
+#include <cstdio>
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace skylarkhoist {
+namespace {
+
+// How long an open response may still take to leave the process at its end.
+constexpr duration kFlushTime = std::chrono::milliseconds(500);
+
+uint64_t DrawIncarnation() {
+  system_random random;
+  uint64_t drawn = 0;
+  while (drawn == 0)
+    drawn = random.Next();
+  return drawn;
+}
+
+tcp_transport_settings TransportSettings(const node_settings& settings,
+                                         uint64_t incarnation) {
+  tcp_transport_settings result;
+  result.listen_address = settings.peer_address;
+  result.hello.cluster = settings.cluster;
+  result.hello.node = settings.node;
+  result.hello.zone = settings.zone;
+  result.hello.peer_address = settings.peer_address;
+  result.hello.incarnation = incarnation;
+  return result;
+}
+
+http_server_settings ServerSettings(const std::string& address,
+                                    const std::string& name) {
+  http_server_settings result;
+  result.listen_address = address;
+  result.name = name;
+  return result;
+}
+
+http_log_client_settings LogSettings(const node_settings& settings) {
+  http_log_client_settings result;
+  result.address = settings.log_address;
+  result.stream = settings.log_stream;
+  result.timeout = settings.log_timeout;
+  return result;
+}
+
+node_options NodeOptions(const node_settings& settings, uint64_t incarnation) {
+  node_options result;
+  result.name = settings.node;
+  result.cluster = settings.cluster;
+  result.zone = settings.zone;
+  result.public_address = settings.public_address;
+  result.local_address = settings.local_address;
+  result.peer_address = settings.peer_address;
+  result.seeds = settings.seed_peers;
+  result.incarnation = incarnation;
+  result.routing = settings.routing_policy;
+  return result;
+}
+
+}  // namespace
+
+node_process::node_process(const node_settings& settings)
+    : incarnation_(DrawIncarnation()),
+      transport_(&loop_, TransportSettings(settings, incarnation_), &metrics_),
+      targets_(&loop_, {}, &metrics_),
+      log_(&loop_, LogSettings(settings)),
+      public_server_(
+          &loop_,
+          ServerSettings(settings.public_address, "public"),
+          [this](const http_request& request,
+                 std::shared_ptr<http_exchange> exchange) {
+            Serve(request, std::move(exchange), false);
+          },
+          &metrics_),
+      local_server_(
+          &loop_,
+          ServerSettings(settings.local_address, "local"),
+          [this](const http_request& request,
+                 std::shared_ptr<http_exchange> exchange) {
+            Serve(request, std::move(exchange), true);
+          },
+          &metrics_) {
+  node_parts parts;
+  parts.run_loop = &loop_;
+  parts.transport = &transport_;
+  parts.targets = &targets_;
+  parts.log = &log_;
+  parts.random = &random_;
+  parts.wall = &wall_;
+  parts.counters = &metrics_;
+  node_ = std::make_unique<node>(NodeOptions(settings, incarnation_), parts);
+}
+
+tl::expected<void, findings> node_process::Listen() {
+  findings problems;
+  node_->Start();
+  const auto add = [&](const tl::expected<void, findings>& result) {
+    if (!result)
+      problems.Append(result.error());
+  };
+  add(transport_.Listen());
+  add(public_server_.Listen());
+  add(local_server_.Listen());
+  if (!problems.empty())
+    return tl::unexpected(problems);
+  return {};
+}
+
+void node_process::Serve(const http_request& request,
+                         std::shared_ptr<http_exchange> exchange,
+                         bool local) {
+  const auto reply = [exchange](const http_response& response) {
+    exchange->Respond(response);
+  };
+  const entry_call_id id = local ? node_->HandleLocal(request, reply)
+                                 : node_->HandlePublic(request, reply);
+  if (exchange->waiting())
+    exchange->OnGone([this, id] { node_->HandleGone(id); });
+}
+
+void node_process::Run() {
+  loop_.OnSignal(SIGTERM, [this] { Stop(); });
+  loop_.OnSignal(SIGINT, [this] { Stop(); });
+  loop_.Run();
+}
+
+void node_process::Stop() {
+  if (stopping_)
+    return;
+  stopping_ = true;
+  node_->Drain([this] {
+    public_server_.StopAccepting();
+    loop_.RunAfter(kFlushTime, [this] { loop_.Stop(); });
+  });
+}
+
+int RunNode(const node_settings& settings) {
+  ConfigureLog(settings.format);
+  std::signal(SIGPIPE, SIG_IGN);
+  node_process process(settings);
+  const auto listening = process.Listen();
+  if (!listening) {
+    std::fputs(listening.error().ToText().c_str(), stderr);
+    return 1;
+  }
+  process.Run();
+  return 0;
+}
+
+}  // namespace skylarkhoist
--- a/node/call_types.h
+++ b/node/call_types.h
@@ -22,9 +22,11 @@
 request_id FromWire(const std::unique_ptr<fbs::request_id>& id);
 
 std::vector<std::unique_ptr<fbs::headerT>> ToWire(const http_headers& headers);
-http_headers FromWire(const std::vector<std::unique_ptr<fbs::headerT>>& headers);
+http_headers FromWire(
+    const std::vector<std::unique_ptr<fbs::headerT>>& headers);
 
-// XXH64 of a body; stands in each call and answer, so that a damaged one is found end to end.
+// XXH64 of a body; stands in each call and answer, so that a damaged one is
+// found end to end.
 uint64_t BodyChecksum(const std::vector<uint8_t>& body);
 
 // An answer without a response of the target.
@@ -48,7 +50,9 @@
   reason_counters(metrics* counters,
                   std::string_view name,
                   std::string_view help);
-  void Increment(reason why) { counters_[static_cast<size_t>(why)]->Increment(); }
+  void Increment(reason why) {
+    counters_[static_cast<size_t>(why)]->Increment();
+  }
 
  private:
   std::vector<prometheus::Counter*> counters_;
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -163,7 +163,8 @@
   return Prepare(opened, *route);
 }
 
-// Reads what the request says of itself and strips what must not reach a target.
+// Reads what the request says of itself and strips what must not reach a
+// target.
 std::optional<reason> entry::Prepare(call* opened, const route_config& route) {
   http_headers& headers = opened->request.headers;
   opened->route = route.name;
@@ -230,13 +231,15 @@
     refused = reason::kBadRequest;
   else
     refused = Prepare(opened, *route);
-  // The chain counts as its most important part: a child never ranks below its parent.
+  // The chain counts as its most important part: a child never ranks below its
+  // parent.
   opened->rank = std::max(opened->rank, rank);
   if (refused) {
     FinishError(opened, *refused, fbs::ran_state::kNo);
     return number;
   }
-  // The rate counts whole requests of a customer; a child call belongs to its parent's token.
+  // The rate counts whole requests of a customer; a child call belongs to its
+  // parent's token.
   CheckAdmission(number);
   return number;
 }
@@ -248,16 +251,15 @@
     CheckAdmission(number);
     return;
   }
-  acquire_(opened->customer, opened->deadline,
-                  [this, number](reason result) {
-                    call* waiting = FindCall(number);
-                    if (waiting == nullptr)
-                      return;
-                    if (result != reason::kOk)
-                      FinishError(waiting, result, fbs::ran_state::kNo);
-                    else
-                      CheckAdmission(number);
-                  });
+  acquire_(opened->customer, opened->deadline, [this, number](reason result) {
+    call* waiting = FindCall(number);
+    if (waiting == nullptr)
+      return;
+    if (result != reason::kOk)
+      FinishError(waiting, result, fbs::ran_state::kNo);
+    else
+      CheckAdmission(number);
+  });
 }
 
 // Refuses at once what would fail later in its chain.
@@ -291,10 +293,9 @@
     Dispatch(number);
     return;
   }
-  dedup_->Claim(opened->customer, opened->idempotency_key, opened->id,
-                opened->deadline, [this, number](const dedup_decision& made) {
-                  OnClaim(number, made);
-                });
+  dedup_->Claim(
+      opened->customer, opened->idempotency_key, opened->id, opened->deadline,
+      [this, number](const dedup_decision& made) { OnClaim(number, made); });
 }
 
 void entry::OnClaim(entry_call_id number, const dedup_decision& decision) {
@@ -404,8 +405,7 @@
   message.method = opened->request.method;
   message.path = opened->request.path;
   message.headers = ToWire(opened->request.headers);
-  message.body.assign(opened->request.body.begin(),
-                      opened->request.body.end());
+  message.body.assign(opened->request.body.begin(), opened->request.body.end());
   message.body_checksum = BodyChecksum(message.body);
 
   opened->tried.insert(target.node_address);
@@ -419,8 +419,8 @@
   if (!opened->current)
     return;
   attempts_.erase(opened->current->id);
-  const auto open =
-      open_by_target_.find({opened->current->address, opened->current->service});
+  const auto open = open_by_target_.find(
+      {opened->current->address, opened->current->service});
   if (open != open_by_target_.end() && --open->second == 0)
     open_by_target_.erase(open);
   opened->current.reset();
@@ -480,8 +480,9 @@
   Dispatch(opened->number);
 }
 
-// Spends one credit of the chain and one of the service's budget. Retries after a target or node
-// that takes no calls at all do not add load, so they need no budget.
+// Spends one credit of the chain and one of the service's budget. Retries after
+// a target or node that takes no calls at all do not add load, so they need no
+// budget.
 bool entry::MayRetry(call* opened, reason why) {
   if (opened->credit <= 0)
     return false;
@@ -522,8 +523,7 @@
                                            : fbs::outcome::kFailed,
                 nullptr);
   ended_.Increment(why);
-  Finish(opened,
-         MakeErrorResponse(opened->id, why, ran, options_.retry_after));
+  Finish(opened, MakeErrorResponse(opened->id, why, ran, options_.retry_after));
 }
 
 void entry::ReportToDedup(const call& opened,
@@ -559,7 +559,8 @@
   fbs::call_cancelT cancel;
   cancel.id = ToWire(opened->current->id);
   transport_->Send(opened->current->address, Envelope(std::move(cancel)));
-  // The result of a claimed request is still wanted: the caller may ask for it again.
+  // The result of a claimed request is still wanted: the caller may ask for it
+  // again.
   if (!opened->claimed)
     FinishError(opened, reason::kCallerGone, fbs::ran_state::kUnknown);
 }
@@ -622,19 +623,21 @@
   }
 }
 
-// Asks the executor what became of an open call, until it answers or the deadline passes.
+// Asks the executor what became of an open call, until it answers or the
+// deadline passes.
 void entry::AskAgain(entry_call_id number) {
   call* opened = FindCall(number);
   if (opened == nullptr || !opened->current)
     return;
   fbs::call_queryT query;
   query.id = ToWire(opened->current->id);
-  opened->query_timer = loop_->RunAfter(options_.query_interval, [this, number] {
-    if (call* waiting = FindCall(number)) {
-      waiting->query_timer = 0;
-      AskAgain(number);
-    }
-  });
+  opened->query_timer =
+      loop_->RunAfter(options_.query_interval, [this, number] {
+        if (call* waiting = FindCall(number)) {
+          waiting->query_timer = 0;
+          AskAgain(number);
+        }
+      });
   transport_->Send(opened->current->address, Envelope(std::move(query)));
 }
 
@@ -645,7 +648,8 @@
     return;
   if (opened->current->incarnation != 0 &&
       opened->current->incarnation != from.incarnation) {
-    // Another run of the process knows nothing of the call; that proves nothing.
+    // Another run of the process knows nothing of the call; that proves
+    // nothing.
     FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
     return;
   }
--- a/node/entry.h
+++ b/node/entry.h
@@ -48,9 +48,9 @@
 // Identifies a request at its entry, for HandleGone.
 using entry_call_id = uint64_t;
 
-// The role that faces callers: authenticates, admits, chooses a target, follows the call to its one
-// outcome and answers. Child calls of local targets enter here as well, with a context token in
-// place of a key.
+// The role that faces callers: authenticates, admits, chooses a target, follows
+// the call to its one outcome and answers. Child calls of local targets enter
+// here as well, with a context token in place of a key.
 class entry {
  public:
   entry(loop* loop,
@@ -75,7 +75,8 @@
     child_callback_ = std::move(callback);
   }
 
-  // A request from a caller. `reply` runs exactly once, unless HandleGone comes first.
+  // A request from a caller. `reply` runs exactly once, unless HandleGone comes
+  // first.
   entry_call_id HandlePublic(http_request request, reply_callback reply);
 
   // A child call from a local target, with its context token.
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -34,11 +34,11 @@
   return message;
 }
 
-// A target refuses for load with 503 and Retry-After, before it does any work. A 503 after child
-// calls, or without Retry-After, is an answer like any other.
+// A target refuses for load with 503 and Retry-After, before it does any work.
+// A 503 after child calls, or without Retry-After, is an answer like any other.
 bool IsShed(const target_result& result, bool made_child_calls) {
-  return result.error == target_error::kNone &&
-         result.response.status == 503 && !made_child_calls &&
+  return result.error == target_error::kNone && result.response.status == 503 &&
+         !made_child_calls &&
          result.response.headers.Find("Retry-After") != nullptr;
 }
 
@@ -73,8 +73,8 @@
                                     "Calls that arrived a second time")),
       damaged_(counters->Counter("skylarkhoist_damaged_calls_total",
                                  "Calls with a wrong checksum")) {
-  announcement_timer_ =
-      loop_->RunAfter(std::chrono::seconds(1), [this] { CheckAnnouncements(); });
+  announcement_timer_ = loop_->RunAfter(std::chrono::seconds(1),
+                                        [this] { CheckAnnouncements(); });
 }
 
 executor::~executor() {
@@ -127,8 +127,8 @@
   target.announced_at = now;
   target.down = false;
   if (inserted)
-    target.gate = std::make_unique<target_gate>(
-        SettingsOf(announcement.service), now);
+    target.gate =
+        std::make_unique<target_gate>(SettingsOf(announcement.service), now);
   else if (restarted)
     target.gate->ResetCold(now);
   if (!changed)
@@ -158,10 +158,9 @@
     fbs::target_entryT entry;
     entry.service = target.announced.service;
     entry.address = address;
-    entry.state =
-        InService(target) ? fbs::member_state::kServing
-                          : std::max(target.announced.state,
-                                     fbs::member_state::kDraining);
+    entry.state = InService(target) ? fbs::member_state::kServing
+                                    : std::max(target.announced.state,
+                                               fbs::member_state::kDraining);
     entry.load_permille = target.gate->LoadPermille();
     entry.limit = static_cast<uint32_t>(target.gate->limit());
     entries.push_back(std::move(entry));
@@ -187,8 +186,8 @@
   }
   if (!silent.empty() && targets_changed_)
     targets_changed_();
-  announcement_timer_ =
-      loop_->RunAfter(std::chrono::seconds(1), [this] { CheckAnnouncements(); });
+  announcement_timer_ = loop_->RunAfter(std::chrono::seconds(1),
+                                        [this] { CheckAnnouncements(); });
 }
 
 void executor::MarkDown(const std::string& address) {
@@ -196,9 +195,8 @@
   if (target.down)
     return;
   target.down = true;
-  LogStateChange(
-      "executor", "target_down",
-      {{"service", target.announced.service}, {"address", address}});
+  LogStateChange("executor", "target_down",
+                 {{"service", target.announced.service}, {"address", address}});
   EmptyQueue(address, reason::kNoTarget);
   if (targets_changed_)
     targets_changed_();
@@ -209,7 +207,8 @@
     FinishRefused(id, why, true);
 }
 
-// What can forbid a run at any time: checked at arrival and again before hand-over.
+// What can forbid a run at any time: checked at arrival and again before
+// hand-over.
 std::optional<reason> executor::CheckBeforeRun(const fbs::call_requestT& call,
                                                time_point /*now*/) const {
   if (config_->zones_out.count(options_.zone) > 0)
@@ -217,7 +216,8 @@
   if (call.key_id.empty())
     return std::nullopt;
   const auto key = config_->keys.find(call.key_id);
-  // A node that has not seen the key yet trusts the entry; one that saw its withdrawal does not.
+  // A node that has not seen the key yet trusts the entry; one that saw its
+  // withdrawal does not.
   if (key != config_->keys.end() && key->second.withdrawn)
     return reason::kKeyWithdrawn;
   const auto customer = config_->customers.find(call.customer);
@@ -249,8 +249,8 @@
       duplicates_.Increment();
       return;
     case call_arrival::kFenced:
-      transport_->Send(from.address, Envelope(MakeRefusal(
-                                         id, reason::kLinkLost, true)));
+      transport_->Send(from.address,
+                       Envelope(MakeRefusal(id, reason::kLinkLost, true)));
       return;
     case call_arrival::kForgotten:
       transport_->Send(from.address,
@@ -296,9 +296,9 @@
   }
   gate_call waiting;
   waiting.id = id;
-  waiting.rank = static_cast<priority_class>(std::min<uint8_t>(
-      entry.call.priority_class,
-      static_cast<uint8_t>(priority_class::kCritical)));
+  waiting.rank = static_cast<priority_class>(
+      std::min<uint8_t>(entry.call.priority_class,
+                        static_cast<uint8_t>(priority_class::kCritical)));
   waiting.admitted = entry.call.admitted;
   waiting.customer = entry.call.customer;
   waiting.weight = entry.call.weight_permille / 1000.0;
@@ -381,9 +381,8 @@
   request.path = entry->call.path;
   request.headers = skylarkhoist::FromWire(entry->call.headers);
   request.headers.Add("Skylark-Context", contexts_.Issue(std::move(context)));
-  request.headers.Add(
-      "Skylark-Deadline-Ms",
-      std::to_string(ToMilliseconds(entry->deadline - now)));
+  request.headers.Add("Skylark-Deadline-Ms",
+                      std::to_string(ToMilliseconds(entry->deadline - now)));
   request.body.assign(entry->call.body.begin(), entry->call.body.end());
 
   entry->running = true;
@@ -436,8 +435,8 @@
   const time_point now = loop_->Now();
   const std::string& service = ended.call.service;
   const uint64_t fingerprint = ended.call.fingerprint;
-  const bool died = result.error == target_error::kConnectionLost &&
-                    result.may_have_run;
+  const bool died =
+      result.error == target_error::kConnectionLost && result.may_have_run;
   if (died) {
     TellSuspects(suspects_.OnTargetDeath(service, {fingerprint}, now));
     return;
@@ -475,7 +474,8 @@
     });
 }
 
-// Goes through the suspects that wait: each is refused, queued like any other or tried alone.
+// Goes through the suspects that wait: each is refused, queued like any other
+// or tried alone.
 void executor::TryParked() {
   const time_point now = loop_->Now();
   const std::vector<request_id> waiting = std::exchange(parked_, {});
@@ -529,8 +529,8 @@
     });
 }
 
-// Keeps a target free of other calls and runs the suspect once it is idle. Returns whether it was
-// handed over or refused.
+// Keeps a target free of other calls and runs the suspect once it is idle.
+// Returns whether it was handed over or refused.
 bool executor::TryTrial(execution* entry) {
   local_target* target = nullptr;
   for (auto& [address, candidate] : targets_) {
@@ -561,9 +561,9 @@
   const auto still_open = executions_.find(id);
   if (still_open == executions_.end()) {
     target->exclusive.reset();
-    if (const auto ended = suspects_.EndTrial(
-            notice->service, notice->fingerprint, trial_end::kInconclusive,
-            loop_->Now()))
+    if (const auto ended =
+            suspects_.EndTrial(notice->service, notice->fingerprint,
+                               trial_end::kInconclusive, loop_->Now()))
       TellSuspects({*ended});
   }
   return true;
@@ -636,7 +636,8 @@
     FinishRefused(id, reason::kCallerGone, false);
     return;
   }
-  // A run that may not be repeated goes on, so that its result is known when the caller asks again.
+  // A run that may not be repeated goes on, so that its result is known when
+  // the caller asks again.
   if (!entry.call.repeatable)
     return;
   target_client_->Cancel(entry.target_call);
--- a/node/executor.h
+++ b/node/executor.h
@@ -31,13 +31,14 @@
 
 struct executor_options {
   std::string zone;
-  // A target is out of service when its last announcement is older than this: three missed
-  // announcements at one a second.
+  // A target is out of service when its last announcement is older than this:
+  // three missed announcements at one a second.
   duration announcement_limit = std::chrono::seconds(3);
 };
 
-// The role beside the targets: queues calls, hands them to the local targets within what each bears,
-// and knows for each call whether it was handed over. Only this role talks to targets.
+// The role beside the targets: queues calls, hands them to the local targets
+// within what each bears, and knows for each call whether it was handed over.
+// Only this role talks to targets.
 class executor {
  public:
   executor(loop* loop,
@@ -82,7 +83,8 @@
   void OnSuspect(std::function<void(const fbs::suspectT&)> callback) {
     suspect_callback_ = std::move(callback);
   }
-  // Load levels of the services behind `service`, to be carried back with answers.
+  // Load levels of the services behind `service`, to be carried back with
+  // answers.
   void SetDownstreamLoads(
       std::function<std::vector<fbs::load_levelT>(const std::string&)> loads) {
     downstream_loads_ = std::move(loads);
@@ -132,7 +134,8 @@
   void FinishAnswered(execution* entry, const target_result& result);
   void FinishRefused(const request_id& id, reason why, bool local);
   void FinishFailed(const request_id& id, reason why);
-  // Takes the id by value, since the callers' copy may be part of the execution that ends here.
+  // Takes the id by value, since the callers' copy may be part of the execution
+  // that ends here.
   void Finish(request_id id, fbs::call_answerT answer);
   void MarkDown(const std::string& address);
   void EmptyQueue(const std::string& address, reason why);
--- a/node/loopback_transport.h
+++ b/node/loopback_transport.h
@@ -9,8 +9,9 @@
 
 namespace skylarkhoist {
 
-// Passes messages that a node sends to itself through the loop and all others to the transport
-// below. So the roles need no special case for a target on their own machine.
+// Passes messages that a node sends to itself through the loop and all others
+// to the transport below. So the roles need no special case for a target on
+// their own machine.
 class loopback_transport : public peer_transport {
  public:
   loopback_transport(loop* loop, peer_transport* below, peer_info self)
--- a/node/membership.cc
+++ b/node/membership.cc
@@ -9,11 +9,12 @@
 namespace skylarkhoist {
 namespace {
 
-// Each change is passed on this often by each node. With a fan-out of 3 an update reaches 1,300
-// nodes in about 7 rounds; 8 sends leave room for losses.
+// Each change is passed on this often by each node. With a fan-out of 3 an
+// update reaches 1,300 nodes in about 7 rounds; 8 sends leave room for losses.
 constexpr int kSendsPerChange = 8;
 
-// Ended incarnations are remembered this long, so that late gossip does not revive them.
+// Ended incarnations are remembered this long, so that late gossip does not
+// revive them.
 constexpr duration kGoneMemory = std::chrono::minutes(2);
 
 // Rough size of an entry on the wire, for the bound on message size.
@@ -68,8 +69,8 @@
   timer_ = loop_->RunAfter(options_.gossip_interval, [this] { Tick(); });
 }
 
-// Picks among roster members and all others known, dead or alive: a dead one costs a failed
-// connection and is found alive again this way.
+// Picks among roster members and all others known, dead or alive: a dead one
+// costs a failed connection and is found alive again this way.
 std::vector<std::string> membership::PickPeers() {
   std::set<std::string> known(options_.seeds.begin(), options_.seeds.end());
   for (const roster_member& member : roster_.members)
@@ -81,8 +82,7 @@
   known.erase(options_.peer_address);
   std::vector<std::string> all(known.begin(), known.end());
   std::vector<std::string> picked;
-  while (!all.empty() &&
-         picked.size() < static_cast<size_t>(options_.fanout)) {
+  while (!all.empty() && picked.size() < static_cast<size_t>(options_.fanout)) {
     const size_t index = random_->Below(all.size());
     picked.push_back(std::move(all[index]));
     all.erase(all.begin() + static_cast<std::ptrdiff_t>(index));
@@ -116,7 +116,8 @@
   TouchSelf();
   if (!changed)
     return;
-  // A change of state must be known within seconds everywhere; load alone travels with answers.
+  // A change of state must be known within seconds everywhere; load alone
+  // travels with answers.
   for (const std::string& address : LivePeers())
     SendTo(address, false);
 }
@@ -189,7 +190,8 @@
   // An incarnation that ended stays ended, whatever late gossip says of it.
   if (same_run && (known.gone || entry.version <= known.entry.version))
     return;
-  // Between two runs at one address only direct contact decides which is the newer one.
+  // Between two runs at one address only direct contact decides which is the
+  // newer one.
   if (!inserted && !same_run && !known.gone)
     return;
   if (!same_run) {
@@ -206,8 +208,7 @@
       continue;
     const std::string key = target->service + " " + target->address;
     const auto previous = known.target_since.find(key);
-    since[key] =
-        previous == known.target_since.end() ? now : previous->second;
+    since[key] = previous == known.target_since.end() ? now : previous->second;
   }
   known.target_since = std::move(since);
   if (peer_offset_callback_)
@@ -246,8 +247,8 @@
     return;
   member& known = found->second;
   known.unreachable = true;
-  const bool process_ended = cause == link_down_cause::kRefused ||
-                             cause == link_down_cause::kReplaced;
+  const bool process_ended =
+      cause == link_down_cause::kRefused || cause == link_down_cause::kReplaced;
   if (!process_ended || known.gone)
     return;
   known.gone = true;
--- a/node/membership.h
+++ b/node/membership.h
@@ -43,9 +43,10 @@
   bool reachable = true;
 };
 
-// What this node knows of the others: which nodes run, in which zone, and the targets beside them.
-// Spreads by gossip: each node speaks for itself with a rising version, and each change is passed on
-// a bounded number of times. The cost of a tick does not depend on the size of the fleet.
+// What this node knows of the others: which nodes run, in which zone, and the
+// targets beside them. Spreads by gossip: each node speaks for itself with a
+// rising version, and each change is passed on a bounded number of times. The
+// cost of a tick does not depend on the size of the fleet.
 class membership {
  public:
   membership(loop* loop,
@@ -82,13 +83,15 @@
   // Largest configuration offset that any peer reported.
   const std::vector<fbs::member_entryT> Entries() const;
 
-  // True when, within the contact window, at least half of the sampled roster members answered.
-  // Sampling keeps the cost independent of the size of the fleet: a node cut off with a minority
-  // reaches fewer than half of a random sample.
+  // True when, within the contact window, at least half of the sampled roster
+  // members answered. Sampling keeps the cost independent of the size of the
+  // fleet: a node cut off with a minority reaches fewer than half of a random
+  // sample.
   bool HearsMajority() const;
 
   // Called with the address and the offset that a peer reported.
-  void OnPeerOffset(std::function<void(const std::string&, uint64_t)> callback) {
+  void OnPeerOffset(
+      std::function<void(const std::string&, uint64_t)> callback) {
     peer_offset_callback_ = std::move(callback);
   }
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -159,8 +159,8 @@
   transport_.Start(this);
   members_.Start();
   config_.Start();
-  housekeeping_timer_ = parts_.run_loop->RunAfter(kHousekeepingInterval,
-                                                  [this] { Housekeep(); });
+  housekeeping_timer_ =
+      parts_.run_loop->RunAfter(kHousekeepingInterval, [this] { Housekeep(); });
 }
 
 void node::OnConfigChange() {
@@ -174,13 +174,13 @@
 }
 
 bool node::IsConfigFresh() const {
-  return config_.ready() &&
-         (config_.log_age(parts_.run_loop->Now()) <=
-              options_.config_staleness ||
-          members_.HearsMajority());
+  return config_.ready() && (config_.log_age(parts_.run_loop->Now()) <=
+                                 options_.config_staleness ||
+                             members_.HearsMajority());
 }
 
-// Joins the roster and keeps what gossip says of the local targets' load up to date.
+// Joins the roster and keeps what gossip says of the local targets' load up to
+// date.
 void node::Housekeep() {
   members_.SetTargets(executor_.DescribeTargets());
   const bool member = config_.roster().Find(options_.incarnation) != nullptr;
@@ -190,8 +190,8 @@
                         options_.incarnation},
                        [this](const append_result&) { joining_ = false; });
   }
-  housekeeping_timer_ = parts_.run_loop->RunAfter(kHousekeepingInterval,
-                                                  [this] { Housekeep(); });
+  housekeeping_timer_ =
+      parts_.run_loop->RunAfter(kHousekeepingInterval, [this] { Housekeep(); });
 }
 
 entry_call_id node::HandlePublic(http_request request, reply_callback reply) {
@@ -236,11 +236,10 @@
   target_announcement announcement;
   announcement.service = StringField(*body, "service", &problems);
   announcement.address = StringField(*body, "address", &problems);
-  const std::string state = request.method == "DELETE"
-                                ? "leaving"
-                                : body->value("state", json("serving")).is_string()
-                                      ? body->value("state", "serving")
-                                      : "";
+  const std::string state = request.method == "DELETE" ? "leaving"
+                            : body->value("state", json("serving")).is_string()
+                                ? body->value("state", "serving")
+                                : "";
   if (state == "leaving")
     announcement.state = fbs::member_state::kDraining;
   else if (state != "serving")
@@ -289,8 +288,7 @@
   return status;
 }
 
-void node::OnPeerMessage(const peer_info& from,
-                         const fbs::envelopeT& message) {
+void node::OnPeerMessage(const peer_info& from, const fbs::envelopeT& message) {
   members_.NoteContact(from);
   const fbs::payloadUnion& body = message.body;
   if (const auto* call = body.Ascall_request())
@@ -342,8 +340,8 @@
 void node::OnLinkDown(const peer_info& peer, link_down_cause cause) {
   members_.OnLinkDown(peer, cause);
   entry_.OnLinkDown(peer, cause);
-  const bool process_ended = cause == link_down_cause::kRefused ||
-                             cause == link_down_cause::kReplaced;
+  const bool process_ended =
+      cause == link_down_cause::kRefused || cause == link_down_cause::kReplaced;
   if (process_ended) {
     dedup_.OnPeerGone(peer.address, peer.incarnation);
     rates_.OnPeerGone(peer.address, peer.incarnation);
@@ -360,7 +358,8 @@
   return beat;
 }
 
-// A suspect must be known beside every target of its service before its caller can send it again.
+// A suspect must be known beside every target of its service before its caller
+// can send it again.
 void node::SendToServicePeers(const fbs::suspectT& suspect) {
   std::set<std::string> addresses;
   for (const member_target& target : members_.TargetsOf(suspect.service))
--- a/node/node.h
+++ b/node/node.h
@@ -52,8 +52,9 @@
   metrics* counters = nullptr;
 };
 
-// One node: the entry role, the executor role and what keeps it part of the fleet. The same class
-// runs in the process and, on a manual loop and an in-memory network, in tests.
+// One node: the entry role, the executor role and what keeps it part of the
+// fleet. The same class runs in the process and, on a manual loop and an
+// in-memory network, in tests.
 class node : private peer_observer {
  public:
   node(node_options options, const node_parts& parts);
@@ -66,15 +67,15 @@
   // A request on the public listener. The returned id is for HandleGone.
   entry_call_id HandlePublic(http_request request, reply_callback reply);
 
-  // A request on the local listener: announcements of targets, metrics, status, and child calls of
-  // targets, which carry a context token.
+  // A request on the local listener: announcements of targets, metrics, status,
+  // and child calls of targets, which carry a context token.
   entry_call_id HandleLocal(http_request request, reply_callback reply);
 
   // The caller of a request has gone.
   void HandleGone(entry_call_id id);
 
-  // Planned stop: takes nothing new, finishes what it has, hands over its state, then calls
-  // `drained`.
+  // Planned stop: takes nothing new, finishes what it has, hands over its
+  // state, then calls `drained`.
   void Drain(std::function<void()> drained);
 
   config_follower& config() { return config_; }
--- a/testing/deployments.h
+++ b/testing/deployments.h
@@ -8,16 +8,19 @@
 
 namespace skylarkhoist {
 
-// A small deployment with the shape of the real ones: three zones, two services, one of which calls
-// the other. Node i is in zone i % 3; nodes with an even number run bookings, the others calendar.
+// A small deployment with the shape of the real ones: three zones, two
+// services, one of which calls the other. Node i is in zone i % 3; nodes with
+// an even number run bookings, the others calendar.
 std::vector<fleet_machine> SmallDeployment(size_t machines);
 
-// Publishes services, routes and `customers` customers with rates for SmallDeployment. Routes:
-// /bookings (keyed, not repeatable, critical), /calendar (keyed, repeatable, normal), /browse (open,
-// repeatable, browse; runs on calendar).
+// Publishes services, routes and `customers` customers with rates for
+// SmallDeployment. Routes: /bookings (keyed, not repeatable, critical),
+// /calendar (keyed, repeatable, normal), /browse (open, repeatable, browse;
+// runs on calendar).
 void PublishSmallDeployment(fleet* cluster, int customers);
 
-// Text of the key of customer number `customer`, as published by PublishSmallDeployment.
+// Text of the key of customer number `customer`, as published by
+// PublishSmallDeployment.
 std::string KeyOf(int customer);
 
 // A request as a caller sends it.
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -90,8 +90,8 @@
     options.seeds.push_back(PeerAddress(i));
   node_parts parts;
   parts.run_loop = &run->run_loop;
-  parts.transport = network_.AddNode({options.peer_address, options.name,
-                                      options.zone, options.incarnation});
+  parts.transport = network_.AddNode(
+      {options.peer_address, options.name, options.zone, options.incarnation});
   parts.targets = &targets_;
   parts.log = run->log.get();
   parts.random = run->random.get();
@@ -238,8 +238,7 @@
         done(response ? response->status : 502);
       }};
   const entry_call_id id = run->running->HandleLocal(
-      std::move(child),
-      [this, run, number](const http_response& response) {
+      std::move(child), [this, run, number](const http_response& response) {
         // Answers never reach the target inside its own call.
         loop_.RunAfter(duration::zero(), [this, run, number, response] {
           for (machine& candidate : machines_) {
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -21,7 +21,8 @@
 struct fleet_target {
   std::string service;
   fake_target_options options;
-  // Path of the child call that each of its calls makes through its own node; empty for none.
+  // Path of the child call that each of its calls makes through its own node;
+  // empty for none.
   std::string child_path;
 };
 
@@ -31,13 +32,15 @@
   std::vector<fleet_target> targets;
 };
 
-// Many real nodes in one process: manual loop, in-memory network and log, fake targets. Tests drive
-// the clock, send requests to any node and bring about failures.
+// Many real nodes in one process: manual loop, in-memory network and log, fake
+// targets. Tests drive the clock, send requests to any node and bring about
+// failures.
 //
 //   fleet cluster(ThreeZones(5), 1);
 //   cluster.Publish("/routes/browse", {...});
 //   cluster.Advance(std::chrono::seconds(2));
-//   cluster.Send(0, request, [&](const std::optional<http_response>& r) { ... });
+//   cluster.Send(0, request, [&](const std::optional<http_response>& r) { ...
+//   });
 class fleet {
  public:
   // No response when the connection to the node broke.
@@ -56,11 +59,12 @@
 
   void Advance(duration step) { loop_.Advance(step); }
 
-  // Sends a request to the public listener of a machine's node. A request to a machine whose node is
-  // down gets no response at once.
+  // Sends a request to the public listener of a machine's node. A request to a
+  // machine whose node is down gets no response at once.
   void Send(size_t machine, http_request request, response_callback done);
 
-  // Ends the process of a node; open requests of its callers lose their connection.
+  // Ends the process of a node; open requests of its callers lose their
+  // connection.
   void KillNode(size_t machine);
   void StartNode(size_t machine);
   // Stops all timers and deliveries of a node.
@@ -71,7 +75,9 @@
   // The target says that it leaves.
   void LeaveTarget(size_t machine, size_t target);
 
-  bool IsUp(size_t machine) const { return machines_[machine].process != nullptr; }
+  bool IsUp(size_t machine) const {
+    return machines_[machine].process != nullptr;
+  }
   size_t size() const { return machines_.size(); }
   const fleet_machine& spec(size_t machine) const {
     return machines_[machine].spec;
