--- a/cli/node_process.cc
+++ b/cli/node_process.cc
@@ -73,16 +73,16 @@
           &loop_,
           ServerSettings(settings.public_address, "public"),
           [this](const http_request& request,
-                 std::shared_ptr<http_exchange> exchange) {
-            Serve(request, std::move(exchange), false);
+                 const std::shared_ptr<http_exchange>& exchange) {
+            Serve(request, exchange, false);
           },
           &metrics_),
       local_server_(
           &loop_,
           ServerSettings(settings.local_address, "local"),
           [this](const http_request& request,
-                 std::shared_ptr<http_exchange> exchange) {
-            Serve(request, std::move(exchange), true);
+                 const std::shared_ptr<http_exchange>& exchange) {
+            Serve(request, exchange, true);
           },
           &metrics_) {
   node_parts parts;
@@ -112,7 +112,7 @@
 }
 
 void node_process::Serve(const http_request& request,
-                         std::shared_ptr<http_exchange> exchange,
+                         const std::shared_ptr<http_exchange>& exchange,
                          bool local) {
   const auto reply = [exchange](const http_response& response) {
     exchange->Respond(response);
--- a/cli/node_process.h
+++ b/cli/node_process.h
@@ -33,7 +33,7 @@
 
  private:
   void Serve(const http_request& request,
-             std::shared_ptr<http_exchange> exchange,
+             const std::shared_ptr<http_exchange>& exchange,
              bool local);
   void Stop();
 
