Save epoll calls on the HTTP path

Cause: in a trace of the measurement "wire", epoll_ctl was the most frequent system call, about four times as frequent as writev: evhttp switches reading and writing on and off for each message, and the HTTP server watches for the end of a caller. TCP_NODELAY was set again for each request.

Change: the event loop uses libevent's change list; the HTTP listener carries TCP_NODELAY, which accepted sockets take over.

--- a/kernel/event_loop.cc
+++ b/kernel/event_loop.cc
@@ -8,6 +8,21 @@
 
 namespace skylarkhoist {
 
+namespace {
+
+// With a change list, libevent makes one epoll_ctl call for the changes of a
+// descriptor in one round, which saves most of these calls for HTTP. It must
+// not be used with duplicated descriptors; this project makes none.
+event_base* NewBase() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  return base;
+}
+
+}  // namespace
+
 struct event_loop::timer {
   event_loop* owner;
   timer_id id;
@@ -24,7 +39,7 @@
   ~signal_watch() { event_free(handle); }
 };
 
-event_loop::event_loop() : base_(event_base_new()) {
+event_loop::event_loop() : base_(NewBase()) {
   // libevent writes to sockets without MSG_NOSIGNAL; a peer that closed its end
   // must not end this process.
   std::signal(SIGPIPE, SIG_IGN);
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -223,6 +223,8 @@
       evhttp_bound_socket_get_listener(socket_),
       [](evconnlistener* failed, void*) { evconnlistener_disable(failed); });
   ResumeAccepting();
+  // Accepted sockets take the option over from the listener.
+  DisableNagle(evhttp_bound_socket_get_fd(socket_));
   bound_address_ = LocalAddressOf(evhttp_bound_socket_get_fd(socket_));
   return {};
 }
@@ -282,7 +284,6 @@
   evhttp_connection* connection = evhttp_request_get_connection(request);
   bufferevent* stream = evhttp_connection_get_bufferevent(connection);
   const int fd = bufferevent_getfd(stream);
-  DisableNagle(fd);
   if (HeaderBytes(request) > settings_.max_header_bytes) {
     headers_too_large_.Increment();
     RefuseRequest(request, 431, "headers_too_large");
