Lend to nodes outside the roster and start early after restarts

Two causes of wrongful refusals: a node that restarts while the log is down cannot join and got no tokens, and a new owner waited for the report of its own predecessor, which runs no more.

The holder of a lease now lists guests, borrowers outside the roster, in its lease requests and lends to them once a majority of witnesses has recorded them; a successor recalls their loans too. A process takes older incarnations at its own address, and at the address of a peer that speaks, as gone. A witness that entered its group less than a loan period ago says so, since it may not know of guests and roster versions of the last holder; the new owner then waits. Fields appended: guests in lease_request and lease_grant, young in lease_grant.

--- a/decisions/lease_test.cc
+++ b/decisions/lease_test.cc
@@ -71,6 +71,13 @@
   CHECK_TRUE(witness.OnRequest(2, 1, 0, kVersion, At(1)).granted);
 }
 
+TEST(lease_witness, RemembersGuestsOfFormerHolders) {
+  witness.OnGuests({{7, "g:1"}}, At(0));
+  witness.OnGuests({}, At(3000));
+  CHECK_EQUAL(1, witness.Guests(At(9999)).size());
+  CHECK_TRUE(witness.Guests(At(10000)).empty());
+}
+
 TEST_GROUP(lease_holder) {
   // Acquires from witnesses 1 and 2 within 4 ms.
   void Acquire(int at) {
--- a/decisions/lease_witness.cc
+++ b/decisions/lease_witness.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace skylarkhoist {
+namespace {
+
+// Above the time for which a loan can outlive the lease of its owner.
+constexpr duration kGuestMemory = std::chrono::seconds(10);
+
+}  // namespace
 
 lease_answer lease_witness::OnRequest(uint64_t holder,
                                       uint64_t round,
@@ -37,6 +43,26 @@
   }
 }
 
+void lease_witness::OnGuests(const std::map<uint64_t, std::string>& guests,
+                             time_point now) {
+  for (const auto& [incarnation, address] : guests) {
+    guests_[incarnation] = address;
+    listed_at_[incarnation] = now;
+  }
+}
+
+const std::map<uint64_t, std::string>& lease_witness::Guests(time_point now) {
+  for (auto guest = guests_.begin(); guest != guests_.end();) {
+    if (now - listed_at_[guest->first] < kGuestMemory) {
+      ++guest;
+      continue;
+    }
+    listed_at_.erase(guest->first);
+    guest = guests_.erase(guest);
+  }
+  return guests_;
+}
+
 void lease_witness::OnGone(uint64_t holder) {
   if (holder == holder_)
     until_ = time_point();
--- a/decisions/lease_witness.h
+++ b/decisions/lease_witness.h
@@ -2,6 +2,8 @@
 #define DECISIONS_LEASE_WITNESS_H_
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 #include "decisions/shard_group.h"
 #include "kernel/time.h"
@@ -39,6 +41,12 @@
   // The process of `holder` is certainly gone.
   void OnGone(uint64_t holder);
 
+  // Borrowers outside the roster, by incarnation, that the present holder
+  // lends to. A successor must know them; each is kept for some time after it
+  // was listed last.
+  void OnGuests(const std::map<uint64_t, std::string>& guests, time_point now);
+  const std::map<uint64_t, std::string>& Guests(time_point now);
+
   // Holder in force, or 0.
   uint64_t HolderAt(time_point now) const { return now < until_ ? holder_ : 0; }
   // When the holder in force asked last.
@@ -52,6 +60,8 @@
   time_point until_;
   uint64_t highest_epoch_ = 0;
   uint64_t roster_version_ = 0;
+  std::map<uint64_t, std::string> guests_;
+  std::map<uint64_t, time_point> listed_at_;
 };
 
 }  // namespace skylarkhoist
--- a/node/rate_service.cc
+++ b/node/rate_service.cc
@@ -46,6 +46,10 @@
 // left before, so it waits until all loans have ended.
 constexpr duration kHistoryPeriod = seconds(10);
 
+// Bounds the size of lease requests. While a large part of the fleet cannot
+// join, the others wait.
+constexpr size_t kMaxGuests = 32;
+
 constexpr duration kDrainLimit = milliseconds(500);
 
 }  // namespace
@@ -131,8 +135,19 @@
     if (added) {
       known->second.address = member.peer_address;
       known->second.seen_at = now;
-      known->second.seen_version = roster.version;
     }
+    known->second.removed_at.reset();
+    known->second.seen_version =
+        std::min(known->second.seen_version, roster.version);
+  }
+  // This process has the address now, so its predecessors there are gone.
+  const auto own = peers_.find(options_.incarnation);
+  const uint64_t joined =
+      own == peers_.end() ? UINT64_MAX : own->second.seen_version;
+  std::vector<uint64_t> predecessors;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.address == options_.address && peer.seen_version < joined)
+      predecessors.push_back(id);
   }
   for (auto peer = peers_.begin(); peer != peers_.end();) {
     known_peer& known = peer->second;
@@ -150,6 +165,8 @@
     if (shard.owned != nullptr && HoldsLease(shard, now))
       SendLeaseRound(shard);
   }
+  for (const uint64_t id : predecessors)
+    MarkGone(id);
   TickSoon();
 }
 
@@ -166,18 +183,8 @@
     const bool meant = incarnation != 0 ? id == incarnation
                                         : peer.address == address &&
                                               now - peer.seen_at >= kRefusalAge;
-    if (!meant || peer.gone || id == options_.incarnation)
-      continue;
-    peer.gone = true;
-    for (shard_state& shard : shards_) {
-      shard.group.OnPeerGone(id, now);
-      shard.witness.OnGone(id);
-      if (shard.owned == nullptr)
-        continue;
-      for (auto& [name, ledger] : shard.owned->ledgers)
-        ledger.OnBorrowerGone(id);
-      MarkReported(shard, id);
-    }
+    if (meant)
+      MarkGone(id);
   }
   for (shard_state& shard : shards_) {
     if (OwnerAddress(shard) == address)
@@ -186,6 +193,44 @@
   TickSoon();
 }
 
+void rate_service::MarkGone(uint64_t incarnation) {
+  known_peer& peer = peers_[incarnation];
+  if (peer.gone || incarnation == options_.incarnation)
+    return;
+  peer.gone = true;
+  for (shard_state& shard : shards_) {
+    shard.group.OnPeerGone(incarnation, loop_->Now());
+    shard.witness.OnGone(incarnation);
+    if (shard.owned == nullptr)
+      continue;
+    for (auto& [name, ledger] : shard.owned->ledgers)
+      ledger.OnBorrowerGone(incarnation);
+    MarkReported(shard, incarnation);
+  }
+}
+
+void rate_service::NoteAlive(const peer_info& peer) {
+  uint64_t& last = alive_at_[peer.address];
+  if (last == peer.incarnation)
+    return;
+  last = peer.incarnation;
+  const time_point now = loop_->Now();
+  const auto speaker = peers_.find(peer.incarnation);
+  // Messages of a process may arrive late, after its successor has joined.
+  if (speaker != peers_.end() && speaker->second.gone)
+    return;
+  const uint64_t version =
+      speaker == peers_.end() ? UINT64_MAX : speaker->second.seen_version;
+  std::vector<uint64_t> older;
+  for (const auto& [id, known] : peers_) {
+    if (known.address == peer.address && id != peer.incarnation &&
+        known.seen_version < version && now - known.seen_at >= kRefusalAge)
+      older.push_back(id);
+  }
+  for (const uint64_t id : older)
+    MarkGone(id);
+}
+
 void rate_service::OnLinkLost(const std::string& address) {
   Probe(address);
 }
@@ -193,6 +238,7 @@
 void rate_service::HandleLeaseRequest(const peer_info& from,
                                       const fbs::lease_requestT& message) {
   const time_point now = loop_->Now();
+  NoteAlive(from);
   OnPeerVersion(from.incarnation, message.roster_version);
   fbs::lease_grantT answer;
   answer.shard = message.shard;
@@ -218,17 +264,30 @@
     answer.epoch = decided.epoch;
     answer.holder = decided.holder;
     answer.wait_ms = static_cast<uint32_t>(ToMilliseconds(decided.wait));
-    if (decided.granted)
+    answer.young = !shard->group.Counts(now - kLoanPeriod);
+    for (const auto& [incarnation, address] : shard->witness.Guests(now)) {
+      auto known = std::make_unique<fbs::lease_guestT>();
+      known->incarnation = incarnation;
+      known->address = address;
+      answer.guests.push_back(std::move(known));
+    }
+    if (decided.granted) {
       shard->free_since.reset();
-    else if (decided.holder != 0 &&
-             now - shard->witness.renewed_at() >= kLateRenewal)
+      std::map<uint64_t, std::string> guests;
+      for (const auto& listed : message.guests)
+        guests[listed->incarnation] = listed->address;
+      shard->witness.OnGuests(guests, now);
+    } else if (decided.holder != 0 &&
+               now - shard->witness.renewed_at() >= kLateRenewal) {
       Probe(AddressOf(decided.holder));
+    }
   }
-  SendTo(from.address, answer);
+  SendTo(from.address, std::move(answer));
 }
 
 void rate_service::HandleLeaseGrant(const peer_info& from,
                                     const fbs::lease_grantT& message) {
+  NoteAlive(from);
   OnPeerVersion(from.incarnation, message.roster_version);
   shard_state* shard = ShardNamed(message.shard);
   if (shard == nullptr)
@@ -243,6 +302,11 @@
       FailAttempt(*shard);
     return;
   }
+  if (shard->owned == nullptr) {
+    for (const auto& former : message.guests)
+      shard->former_guests[former->incarnation] = former->address;
+    shard->young_witness = shard->young_witness || message.young;
+  }
   if (!shard->holder.OnGrant(from.incarnation, message.round, true,
                              message.epoch, message.holder_version, now))
     return;
@@ -258,6 +322,7 @@
 void rate_service::HandleRateRequest(const peer_info& from,
                                      const fbs::rate_requestT& message) {
   const time_point now = loop_->Now();
+  NoteAlive(from);
   if (message.report) {
     if (message.shard >= kRateShards)
       return;
@@ -287,12 +352,7 @@
     SendTo(from.address, answer);
     return;
   }
-  const auto borrower = peers_.find(from.incarnation);
-  // The successor of this owner must know all borrowers.
-  if (!shard.owned->ready || borrower == peers_.end() ||
-      borrower->second.removed_at ||
-      (borrower->second.seen_version > shard.holder.recorded_version() &&
-       !options_.fault_skip_lease))
+  if (!shard.owned->ready || !MayBorrow(shard, from))
     return;
   answer.epoch = shard.owned->epoch;
   if (message.epoch != 0 && message.epoch != shard.owned->epoch) {
@@ -325,6 +385,7 @@
 void rate_service::HandleRateGrant(const peer_info& from,
                                    const fbs::rate_grantT& message) {
   const time_point now = loop_->Now();
+  NoteAlive(from);
   if (message.recall) {
     if (message.shard >= kRateShards)
       return;
@@ -579,6 +640,8 @@
     return;
   shard.attempting = true;
   shard.attempt_at = now;
+  shard.former_guests.clear();
+  shard.young_witness = false;
   SendLeaseRound(shard);
 }
 
@@ -592,6 +655,14 @@
   request.round = round.round;
   request.epoch = round.epoch;
   request.group = shard.group.id();
+  for (auto& [incarnation, guest] : shard.guests) {
+    if (guest.round == 0)
+      guest.round = round.round;
+    auto listed = std::make_unique<fbs::lease_guestT>();
+    listed->incarnation = incarnation;
+    listed->address = AddressOf(incarnation);
+    request.guests.push_back(std::move(listed));
+  }
   for (const roster_member& member : shard.group.members())
     SendTo(member.peer_address, request);
 }
@@ -627,6 +698,15 @@
   owned_shard& owned = *shard.owned;
   owned.epoch = epoch;
   owned.ready_at = now + kLoanPeriod;
+  shard.guests.clear();
+  for (const auto& [incarnation, address] : shard.former_guests) {
+    const auto [known, added] = peers_.try_emplace(incarnation);
+    if (added) {
+      known->second.address = address;
+      known->second.seen_at = now;
+      known->second.removed_at = now;
+    }
+  }
   for (const auto& [id, peer] : peers_) {
     if (!peer.gone && id != options_.incarnation)
       owned.pending[id] = peer.address;
@@ -634,6 +714,7 @@
   // A former owner with a newer roster may have lent to members that this node
   // does not know yet.
   owned.early_start = now - *started_at_ >= kHistoryPeriod &&
+                      !shard.young_witness &&
                       roster_.version >= shard.holder.former_version();
   LogStateChange("rate", "lease_taken",
                  {{"shard", shard.name}, {"epoch", std::to_string(epoch)}});
@@ -703,9 +784,11 @@
         LedgerOf(shard, name);
     }
   }
-  LogStateChange(
-      "rate", "shard_owned",
-      {{"shard", shard.name}, {"start", early ? "early" : "waited"}});
+  LogStateChange("rate", "shard_owned",
+                 {{"shard", shard.name},
+                  {"start", early ? "early" : "waited"},
+                  {"unreported", std::to_string(owned.pending.size())},
+                  {"early_allowed", owned.early_start ? "yes" : "no"}});
 }
 
 void rate_service::AdoptReport(shard_state& shard,
@@ -718,6 +801,39 @@
   }
 }
 
+bool rate_service::MayBorrow(shard_state& shard, const peer_info& borrower) {
+  if (options_.fault_skip_lease)
+    return true;
+  const time_point now = loop_->Now();
+  const auto [known, added] = peers_.try_emplace(borrower.incarnation);
+  if (added) {
+    known->second.address = borrower.address;
+    known->second.seen_at = now;
+    known->second.removed_at = now;
+  }
+  if (known->second.gone)
+    return false;
+  if (!known->second.removed_at &&
+      known->second.seen_version <= shard.holder.recorded_version()) {
+    shard.guests.erase(borrower.incarnation);
+    return true;
+  }
+  for (auto item = shard.guests.begin(); item != shard.guests.end();) {
+    const bool idle = now - item->second.asked_at >= kHistoryPeriod;
+    item = idle ? shard.guests.erase(item) : std::next(item);
+  }
+  const auto found = shard.guests.find(borrower.incarnation);
+  if (found == shard.guests.end()) {
+    if (shard.guests.size() < kMaxGuests) {
+      shard.guests[borrower.incarnation].asked_at = now;
+      SendLeaseRound(shard);
+    }
+    return false;
+  }
+  found->second.asked_at = now;
+  return found->second.round != 0 && found->second.round <= shard.granted_round;
+}
+
 void rate_service::ServeShortage(shard_state& shard,
                                  const std::string& customer) {
   const time_point now = loop_->Now();
--- a/node/rate_service.h
+++ b/node/rate_service.h
@@ -124,6 +124,13 @@
     std::map<std::string, rate_ledger> ledgers;
   };
 
+  struct guest {
+    // First round that listed it; it may borrow once a majority has granted
+    // this round or a later one.
+    uint64_t round = 0;
+    time_point asked_at;
+  };
+
   struct shard_state {
     shard_state(unsigned number, uint64_t incarnation);
     unsigned index;
@@ -141,6 +148,11 @@
     size_t refusals = 0;
     uint64_t granted_round = 0;
     std::optional<time_point> free_since;
+    // What the witnesses of an acquisition know of former holders.
+    std::map<uint64_t, std::string> former_guests;
+    bool young_witness = false;
+    // Borrowers outside the recorded roster.
+    std::map<uint64_t, guest> guests;
 
     // Where requests for tokens go: the last known owner, or else the group
     // members in turn.
@@ -156,8 +168,9 @@
   struct known_peer {
     std::string address;
     time_point seen_at;
-    uint64_t seen_version = 0;
-    // Set once it has left the roster.
+    // First roster version with this member; the highest value before that.
+    uint64_t seen_version = UINT64_MAX;
+    // Set while it is not in the roster.
     std::optional<time_point> removed_at;
     bool gone = false;
   };
@@ -183,6 +196,8 @@
   void AdoptReport(shard_state& shard,
                    uint64_t borrower,
                    const std::vector<fbs::rate_loanT>& loans);
+  // Whether a successor of this owner would know of the borrower.
+  bool MayBorrow(shard_state& shard, const peer_info& borrower);
   void ServeShortage(shard_state& shard, const std::string& customer);
   rate_ledger* LedgerOf(shard_state& shard, const std::string& customer);
 
@@ -198,6 +213,10 @@
   void NextCandidate(shard_state& shard);
   void CheckDrained();
 
+  // A message of this process shows that older ones at its address are gone.
+  void NoteAlive(const peer_info& peer);
+  void MarkGone(uint64_t incarnation);
+
   template <typename table>
   void SendTo(const std::string& address, table message);
   void Probe(const std::string& address);
@@ -217,7 +236,10 @@
   std::shared_ptr<const config_view> config_;
   roster_view roster_;
   std::optional<time_point> started_at_;
+  // Members, former members and guests by incarnation.
   std::map<uint64_t, known_peer> peers_;
+  // Incarnation that spoke last at each address.
+  std::map<std::string, uint64_t> alive_at_;
   std::vector<shard_state> shards_;
   std::map<std::string, customer_state> customers_;
   std::map<std::string, time_point> probed_at_;
--- a/node/rate_service_test.cc
+++ b/node/rate_service_test.cc
@@ -128,6 +128,26 @@
   CHECK_EQUAL(static_cast<int>(kBurst), run.Ok());
 }
 
+// While the log is down, a restarted node cannot join. Guards against refusals
+// there, and against a successor that forgets the loans of such a node.
+TEST(rate_service, NodeOutsideTheRosterBorrows) {
+  loaded_fleet run(6, 9);
+  run.clock.Advance(seconds(11));
+  const auto owner = static_cast<size_t>(run.fleet.OwnerOf("acme"));
+  const size_t guest = (owner + 1) % 9;
+  run.fleet.Restart(guest);
+  run.clock.Advance(seconds(4));
+  for (int i = 0; i < 20; ++i)
+    run.Call(guest);
+  run.clock.Advance(milliseconds(100));
+  CHECK_EQUAL(20, run.Ok());
+  run.fleet.Crash(owner);
+  run.clock.Advance(milliseconds(300));
+  CHECK_EQUAL(1, run.fleet.OwnerCount("acme"));
+  run.Run(seconds(3), 3 * kRate);
+  CHECK_EQUAL(0, run.checker.WorstOver());
+}
+
 // A fault of a history: `kind` decides how the numbers are used.
 struct fault {
   int kind;
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -82,6 +82,10 @@
 struct config_stateBuilder;
 struct config_stateT;
 
+struct lease_guest;
+struct lease_guestBuilder;
+struct lease_guestT;
+
 struct lease_request;
 struct lease_requestBuilder;
 struct lease_requestT;
@@ -164,6 +168,8 @@
 bool operator!=(const config_requestT &lhs, const config_requestT &rhs);
 bool operator==(const config_stateT &lhs, const config_stateT &rhs);
 bool operator!=(const config_stateT &lhs, const config_stateT &rhs);
+bool operator==(const lease_guestT &lhs, const lease_guestT &rhs);
+bool operator!=(const lease_guestT &lhs, const lease_guestT &rhs);
 bool operator==(const lease_requestT &lhs, const lease_requestT &rhs);
 bool operator!=(const lease_requestT &lhs, const lease_requestT &rhs);
 bool operator==(const lease_grantT &lhs, const lease_grantT &rhs);
@@ -2827,6 +2833,87 @@
 
 flatbuffers::Offset<config_state> Createconfig_state(flatbuffers::FlatBufferBuilder &_fbb, const config_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct lease_guestT : public flatbuffers::NativeTable {
+  typedef lease_guest TableType;
+  uint64_t incarnation = 0;
+  std::string address{};
+};
+
+struct lease_guest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef lease_guestT NativeTableType;
+  typedef lease_guestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INCARNATION = 4,
+    VT_ADDRESS = 6
+  };
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           verifier.EndTable();
+  }
+  lease_guestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(lease_guestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<lease_guest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const lease_guestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct lease_guestBuilder {
+  typedef lease_guest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(lease_guest::VT_INCARNATION, incarnation, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(lease_guest::VT_ADDRESS, address);
+  }
+  explicit lease_guestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<lease_guest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<lease_guest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<lease_guest> Createlease_guest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0) {
+  lease_guestBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct lease_guest::Traits {
+  using type = lease_guest;
+  static auto constexpr Create = Createlease_guest;
+};
+
+inline flatbuffers::Offset<lease_guest> Createlease_guestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t incarnation = 0,
+    const char *address = nullptr) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return skylarkhoist::fbs::Createlease_guest(
+      _fbb,
+      incarnation,
+      address__);
+}
+
+flatbuffers::Offset<lease_guest> Createlease_guest(flatbuffers::FlatBufferBuilder &_fbb, const lease_guestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct lease_requestT : public flatbuffers::NativeTable {
   typedef lease_request TableType;
   std::string shard{};
@@ -2835,6 +2922,11 @@
   uint64_t epoch = 0;
   bool release = false;
   uint64_t group = 0;
+  std::vector<std::unique_ptr<skylarkhoist::fbs::lease_guestT>> guests{};
+  lease_requestT() = default;
+  lease_requestT(const lease_requestT &o);
+  lease_requestT(lease_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  lease_requestT &operator=(lease_requestT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct lease_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2847,7 +2939,8 @@
     VT_ROUND = 8,
     VT_EPOCH = 10,
     VT_RELEASE = 12,
-    VT_GROUP = 14
+    VT_GROUP = 14,
+    VT_GUESTS = 16
   };
   const flatbuffers::String *shard() const {
     return GetPointer<const flatbuffers::String *>(VT_SHARD);
@@ -2867,6 +2960,9 @@
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>> *guests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>> *>(VT_GUESTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARD) &&
@@ -2876,6 +2972,9 @@
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_RELEASE, 1) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
+           VerifyOffset(verifier, VT_GUESTS) &&
+           verifier.VerifyVector(guests()) &&
+           verifier.VerifyVectorOfTables(guests()) &&
            verifier.EndTable();
   }
   lease_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2905,6 +3004,9 @@
   void add_group(uint64_t group) {
     fbb_.AddElement<uint64_t>(lease_request::VT_GROUP, group, 0);
   }
+  void add_guests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>>> guests) {
+    fbb_.AddOffset(lease_request::VT_GUESTS, guests);
+  }
   explicit lease_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2923,12 +3025,14 @@
     uint64_t round = 0,
     uint64_t epoch = 0,
     bool release = false,
-    uint64_t group = 0) {
+    uint64_t group = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>>> guests = 0) {
   lease_requestBuilder builder_(_fbb);
   builder_.add_group(group);
   builder_.add_epoch(epoch);
   builder_.add_round(round);
   builder_.add_roster_version(roster_version);
+  builder_.add_guests(guests);
   builder_.add_shard(shard);
   builder_.add_release(release);
   return builder_.Finish();
@@ -2946,8 +3050,10 @@
     uint64_t round = 0,
     uint64_t epoch = 0,
     bool release = false,
-    uint64_t group = 0) {
+    uint64_t group = 0,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>> *guests = nullptr) {
   auto shard__ = shard ? _fbb.CreateString(shard) : 0;
+  auto guests__ = guests ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>>(*guests) : 0;
   return skylarkhoist::fbs::Createlease_request(
       _fbb,
       shard__,
@@ -2955,7 +3061,8 @@
       round,
       epoch,
       release,
-      group);
+      group,
+      guests__);
 }
 
 flatbuffers::Offset<lease_request> Createlease_request(flatbuffers::FlatBufferBuilder &_fbb, const lease_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2970,6 +3077,12 @@
   uint64_t holder = 0;
   uint32_t wait_ms = 0;
   uint64_t holder_version = 0;
+  std::vector<std::unique_ptr<skylarkhoist::fbs::lease_guestT>> guests{};
+  bool young = false;
+  lease_grantT() = default;
+  lease_grantT(const lease_grantT &o);
+  lease_grantT(lease_grantT&&) FLATBUFFERS_NOEXCEPT = default;
+  lease_grantT &operator=(lease_grantT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct lease_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2984,7 +3097,9 @@
     VT_EPOCH = 12,
     VT_HOLDER = 14,
     VT_WAIT_MS = 16,
-    VT_HOLDER_VERSION = 18
+    VT_HOLDER_VERSION = 18,
+    VT_GUESTS = 20,
+    VT_YOUNG = 22
   };
   const flatbuffers::String *shard() const {
     return GetPointer<const flatbuffers::String *>(VT_SHARD);
@@ -3010,6 +3125,12 @@
   uint64_t holder_version() const {
     return GetField<uint64_t>(VT_HOLDER_VERSION, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>> *guests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>> *>(VT_GUESTS);
+  }
+  bool young() const {
+    return GetField<uint8_t>(VT_YOUNG, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARD) &&
@@ -3021,6 +3142,10 @@
            VerifyField<uint64_t>(verifier, VT_HOLDER, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_HOLDER_VERSION, 8) &&
+           VerifyOffset(verifier, VT_GUESTS) &&
+           verifier.VerifyVector(guests()) &&
+           verifier.VerifyVectorOfTables(guests()) &&
+           VerifyField<uint8_t>(verifier, VT_YOUNG, 1) &&
            verifier.EndTable();
   }
   lease_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3056,6 +3181,12 @@
   void add_holder_version(uint64_t holder_version) {
     fbb_.AddElement<uint64_t>(lease_grant::VT_HOLDER_VERSION, holder_version, 0);
   }
+  void add_guests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>>> guests) {
+    fbb_.AddOffset(lease_grant::VT_GUESTS, guests);
+  }
+  void add_young(bool young) {
+    fbb_.AddElement<uint8_t>(lease_grant::VT_YOUNG, static_cast<uint8_t>(young), 0);
+  }
   explicit lease_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3076,15 +3207,19 @@
     uint64_t epoch = 0,
     uint64_t holder = 0,
     uint32_t wait_ms = 0,
-    uint64_t holder_version = 0) {
+    uint64_t holder_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>>> guests = 0,
+    bool young = false) {
   lease_grantBuilder builder_(_fbb);
   builder_.add_holder_version(holder_version);
   builder_.add_holder(holder);
   builder_.add_epoch(epoch);
   builder_.add_round(round);
   builder_.add_roster_version(roster_version);
+  builder_.add_guests(guests);
   builder_.add_wait_ms(wait_ms);
   builder_.add_shard(shard);
+  builder_.add_young(young);
   builder_.add_granted(granted);
   return builder_.Finish();
 }
@@ -3103,8 +3238,11 @@
     uint64_t epoch = 0,
     uint64_t holder = 0,
     uint32_t wait_ms = 0,
-    uint64_t holder_version = 0) {
+    uint64_t holder_version = 0,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>> *guests = nullptr,
+    bool young = false) {
   auto shard__ = shard ? _fbb.CreateString(shard) : 0;
+  auto guests__ = guests ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>>(*guests) : 0;
   return skylarkhoist::fbs::Createlease_grant(
       _fbb,
       shard__,
@@ -3114,7 +3252,9 @@
       epoch,
       holder,
       wait_ms,
-      holder_version);
+      holder_version,
+      guests__,
+      young);
 }
 
 flatbuffers::Offset<lease_grant> Createlease_grant(flatbuffers::FlatBufferBuilder &_fbb, const lease_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5628,6 +5768,47 @@
 }
 
 
+inline bool operator==(const lease_guestT &lhs, const lease_guestT &rhs) {
+  return
+      (lhs.incarnation == rhs.incarnation) &&
+      (lhs.address == rhs.address);
+}
+
+inline bool operator!=(const lease_guestT &lhs, const lease_guestT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline lease_guestT *lease_guest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<lease_guestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void lease_guest::UnPackTo(lease_guestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+}
+
+inline flatbuffers::Offset<lease_guest> lease_guest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const lease_guestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlease_guest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<lease_guest> Createlease_guest(flatbuffers::FlatBufferBuilder &_fbb, const lease_guestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const lease_guestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _incarnation = _o->incarnation;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  return skylarkhoist::fbs::Createlease_guest(
+      _fbb,
+      _incarnation,
+      _address);
+}
+
+
 inline bool operator==(const lease_requestT &lhs, const lease_requestT &rhs) {
   return
       (lhs.shard == rhs.shard) &&
@@ -5635,7 +5816,8 @@
       (lhs.round == rhs.round) &&
       (lhs.epoch == rhs.epoch) &&
       (lhs.release == rhs.release) &&
-      (lhs.group == rhs.group);
+      (lhs.group == rhs.group) &&
+      (lhs.guests.size() == rhs.guests.size() && std::equal(lhs.guests.cbegin(), lhs.guests.cend(), rhs.guests.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::lease_guestT> const &a, std::unique_ptr<skylarkhoist::fbs::lease_guestT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const lease_requestT &lhs, const lease_requestT &rhs) {
@@ -5643,6 +5825,28 @@
 }
 
 
+inline lease_requestT::lease_requestT(const lease_requestT &o)
+      : shard(o.shard),
+        roster_version(o.roster_version),
+        round(o.round),
+        epoch(o.epoch),
+        release(o.release),
+        group(o.group) {
+  guests.reserve(o.guests.size());
+  for (const auto &guests_ : o.guests) { guests.emplace_back((guests_) ? new skylarkhoist::fbs::lease_guestT(*guests_) : nullptr); }
+}
+
+inline lease_requestT &lease_requestT::operator=(lease_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(shard, o.shard);
+  std::swap(roster_version, o.roster_version);
+  std::swap(round, o.round);
+  std::swap(epoch, o.epoch);
+  std::swap(release, o.release);
+  std::swap(group, o.group);
+  std::swap(guests, o.guests);
+  return *this;
+}
+
 inline lease_requestT *lease_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<lease_requestT>();
   UnPackTo(_o.get(), _resolver);
@@ -5658,6 +5862,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = release(); _o->release = _e; }
   { auto _e = group(); _o->group = _e; }
+  { auto _e = guests(); if (_e) { _o->guests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->guests[_i] = std::unique_ptr<skylarkhoist::fbs::lease_guestT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<lease_request> lease_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const lease_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5674,6 +5879,7 @@
   auto _epoch = _o->epoch;
   auto _release = _o->release;
   auto _group = _o->group;
+  auto _guests = _o->guests.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>> (_o->guests.size(), [](size_t i, _VectorArgs *__va) { return Createlease_guest(*__va->__fbb, __va->__o->guests[i].get(), __va->__rehasher); }, &_va ) : 0;
   return skylarkhoist::fbs::Createlease_request(
       _fbb,
       _shard,
@@ -5681,7 +5887,8 @@
       _round,
       _epoch,
       _release,
-      _group);
+      _group,
+      _guests);
 }
 
 
@@ -5694,7 +5901,9 @@
       (lhs.epoch == rhs.epoch) &&
       (lhs.holder == rhs.holder) &&
       (lhs.wait_ms == rhs.wait_ms) &&
-      (lhs.holder_version == rhs.holder_version);
+      (lhs.holder_version == rhs.holder_version) &&
+      (lhs.guests.size() == rhs.guests.size() && std::equal(lhs.guests.cbegin(), lhs.guests.cend(), rhs.guests.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::lease_guestT> const &a, std::unique_ptr<skylarkhoist::fbs::lease_guestT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.young == rhs.young);
 }
 
 inline bool operator!=(const lease_grantT &lhs, const lease_grantT &rhs) {
@@ -5702,6 +5911,34 @@
 }
 
 
+inline lease_grantT::lease_grantT(const lease_grantT &o)
+      : shard(o.shard),
+        roster_version(o.roster_version),
+        round(o.round),
+        granted(o.granted),
+        epoch(o.epoch),
+        holder(o.holder),
+        wait_ms(o.wait_ms),
+        holder_version(o.holder_version),
+        young(o.young) {
+  guests.reserve(o.guests.size());
+  for (const auto &guests_ : o.guests) { guests.emplace_back((guests_) ? new skylarkhoist::fbs::lease_guestT(*guests_) : nullptr); }
+}
+
+inline lease_grantT &lease_grantT::operator=(lease_grantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(shard, o.shard);
+  std::swap(roster_version, o.roster_version);
+  std::swap(round, o.round);
+  std::swap(granted, o.granted);
+  std::swap(epoch, o.epoch);
+  std::swap(holder, o.holder);
+  std::swap(wait_ms, o.wait_ms);
+  std::swap(holder_version, o.holder_version);
+  std::swap(guests, o.guests);
+  std::swap(young, o.young);
+  return *this;
+}
+
 inline lease_grantT *lease_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<lease_grantT>();
   UnPackTo(_o.get(), _resolver);
@@ -5719,6 +5956,8 @@
   { auto _e = holder(); _o->holder = _e; }
   { auto _e = wait_ms(); _o->wait_ms = _e; }
   { auto _e = holder_version(); _o->holder_version = _e; }
+  { auto _e = guests(); if (_e) { _o->guests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->guests[_i] = std::unique_ptr<skylarkhoist::fbs::lease_guestT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = young(); _o->young = _e; }
 }
 
 inline flatbuffers::Offset<lease_grant> lease_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const lease_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5737,6 +5976,8 @@
   auto _holder = _o->holder;
   auto _wait_ms = _o->wait_ms;
   auto _holder_version = _o->holder_version;
+  auto _guests = _o->guests.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::lease_guest>> (_o->guests.size(), [](size_t i, _VectorArgs *__va) { return Createlease_guest(*__va->__fbb, __va->__o->guests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _young = _o->young;
   return skylarkhoist::fbs::Createlease_grant(
       _fbb,
       _shard,
@@ -5746,7 +5987,9 @@
       _epoch,
       _holder,
       _wait_ms,
-      _holder_version);
+      _holder_version,
+      _guests,
+      _young);
 }
 
 
