Send fewer token requests when the owner is short

While one customer sent five times its rate, each borrower repeated its request every 10 ms, and the owner spent 158 KB a second on messages.

A borrower whose request was served in part now repeats it after 40 ms, since the owner remembers the rest for 50 ms and serves it unasked. Recalls of unused tokens go out every 25 ms, and a borrower asked for them keeps 20 ms of its demand. Ahead of need a borrower asks when less than 120 ms of its demand is left.

The histories alternate calm times and surges: with constant overload nobody holds tokens, and the check could not see tokens that exist twice. The test of returned tokens uses a demand for which the new rule keeps two tokens.

--- a/decisions/rate_borrower.cc
+++ b/decisions/rate_borrower.cc
@@ -10,7 +10,9 @@
 
 // Tokens for this much demand are held, so that calls pass while a new owner
 // takes over.
-constexpr double kHorizonSeconds = 0.3;
+constexpr double kHorizonSeconds = 0.5;
+// With less than this, more is asked for soon.
+constexpr double kLowSeconds = 0.12;
 // Kept when another node lacks tokens.
 constexpr double kKeepSeconds = 0.02;
 constexpr double kFastSeconds = 0.1;
@@ -20,8 +22,11 @@
 constexpr duration kRenewal = milliseconds(800);
 // Least time between requests while calls wait.
 constexpr duration kUrgentInterval = milliseconds(10);
+// The same after an owner has shown that it has too few; it serves the rest
+// unasked as soon as it can.
+constexpr duration kShortInterval = milliseconds(40);
 // Least time between requests that only borrow ahead.
-constexpr duration kAheadInterval = milliseconds(100);
+constexpr duration kLowInterval = milliseconds(100);
 // Without calls for this long, all tokens are returned.
 constexpr duration kIdlePeriod = std::chrono::seconds(1);
 
@@ -53,14 +58,14 @@
   const auto urgent = std::max<token_count>(
       0, static_cast<token_count>(waiting) * kToken - balance);
   if (urgent > 0) {
-    if (since < kUrgentInterval)
+    if (since < (short_ ? kShortInterval : kUrgentInterval))
       return std::nullopt;
-    return MakeRequest(urgent + Target(), urgent, now);
+    return MakeRequest(urgent + Target(kHorizonSeconds), urgent, now);
   }
   if (want_back_) {
     want_back_ = false;
     const auto keep =
-        kToken + static_cast<token_count>(fast_demand_ * kKeepSeconds * kToken);
+        static_cast<token_count>(fast_demand_ * kKeepSeconds) * kToken;
     if (balance > keep) {
       returned_ += balance - keep;
       return MakeRequest(0, 0, now);
@@ -72,9 +77,9 @@
     returned_ += balance;
     return MakeRequest(0, 0, now);
   }
-  const token_count target = Target();
+  const token_count target = Target(kHorizonSeconds);
   const bool renewal = since >= kRenewal;
-  const bool low = balance < target / 2 && since >= kAheadInterval;
+  const bool low = balance < Target(kLowSeconds) && since >= kLowInterval;
   if (!renewal && !low)
     return std::nullopt;
   if (balance > 2 * target)
@@ -114,6 +119,7 @@
   epoch_ = epoch;
   lowest_epoch_ = std::max(lowest_epoch_, epoch);
   granted_ = std::max(granted_, granted);
+  short_ = granted_ < covered_at_;
   valid_until_ = std::max(valid_until_, until);
   answered_round_ = std::max(answered_round_, round);
   return true;
@@ -155,6 +161,8 @@
   granted_ = 0;
   spent_ = 0;
   returned_ = 0;
+  short_ = false;
+  covered_at_ = 0;
   valid_until_ = time_point();
   rounds_.clear();
   // The first request of the new loan is due at once.
@@ -171,10 +179,10 @@
   demand_at_ = now;
 }
 
-token_count rate_borrower::Target() const {
-  const double calls = std::max(fast_demand_, slow_demand_) * kHorizonSeconds;
+token_count rate_borrower::Target(double seconds) const {
+  const double calls = std::max(fast_demand_, slow_demand_) * seconds;
   return kToken *
-         static_cast<token_count>(std::ceil(calls + 2 * std::sqrt(calls) + 1));
+         static_cast<token_count>(std::ceil(calls + 2 * std::sqrt(calls)));
 }
 
 borrower_request rate_borrower::MakeRequest(token_count wanted,
@@ -193,6 +201,7 @@
   request.held = Balance();
   request.wanted = wanted;
   request.urgent = urgent;
+  covered_at_ = granted_ + urgent;
   return request;
 }
 
--- a/decisions/rate_borrower.h
+++ b/decisions/rate_borrower.h
@@ -89,8 +89,8 @@
   void Expire(time_point now);
   void StartLoan();
   void DecayDemand(time_point now);
-  // Tokens to hold: enough to bridge a change of owner.
-  token_count Target() const;
+  // Tokens for the expected demand of this time, with a margin for chance.
+  token_count Target(double seconds) const;
   borrower_request MakeRequest(token_count wanted,
                                token_count urgent,
                                time_point now);
@@ -107,6 +107,12 @@
   time_point sent_at_;
   uint64_t answered_round_ = 0;
   bool want_back_ = false;
+  // The owner could not serve the last request in full; it remembers what is
+  // missing for some time.
+  bool short_ = false;
+  // Tokens since the start of the loan that cover the waiting calls of the last
+  // request.
+  token_count covered_at_ = 0;
   // Calls per second, smoothed over a short and a long time.
   double fast_demand_ = 0;
   double slow_demand_ = 0;
--- a/decisions/rate_ledger.cc
+++ b/decisions/rate_ledger.cc
@@ -17,7 +17,7 @@
 
 // A borrower holds a call for at most 50 ms; an older shortage is void.
 constexpr duration kUnmetPeriod = std::chrono::milliseconds(50);
-constexpr duration kRecallInterval = std::chrono::milliseconds(10);
+constexpr duration kRecallInterval = std::chrono::milliseconds(25);
 
 // The link silence limit is 1 s, so no copy of a message is later than this.
 constexpr duration kEndedLoanMemory = std::chrono::seconds(60);
--- a/decisions/rate_ledger_test.cc
+++ b/decisions/rate_ledger_test.cc
@@ -170,10 +170,13 @@
 }
 
 TEST(rate_borrower, ReturnsTokensWhenIdleOrAsked) {
+  // 110 calls a second by the short estimate; 20 ms of it are kept.
+  for (int i = 0; i < 11; ++i)
+    borrower.OnDemand(At(0));
   Borrow(5, 100, 0);
   borrower.OnWantBack();
   const auto back = borrower.NextRequest(0, At(10));
-  CHECK_TRUE(back->returned >= 98 * kToken);
+  CHECK_EQUAL(98 * kToken, back->returned);
   const auto rest = borrower.NextRequest(0, At(1100));
   CHECK_EQUAL(100 * kToken, rest->returned);
   CHECK_FALSE(borrower.NextRequest(0, At(1200)).has_value());
--- a/node/rate_service_test.cc
+++ b/node/rate_service_test.cc
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr double kRate = 100;
+constexpr double kRate = 200;
 constexpr double kBurst = 40;
 
 // A fleet with load on each node and a checker for its one customer.
@@ -271,6 +271,7 @@
 double WorstOverOf(uint64_t seed,
                    size_t nodes,
                    const std::vector<fault>& faults,
+                   duration calm,
                    bool skip_lease = false) {
   loaded_fleet run(seed, nodes, skip_lease);
   // Past the time after which early starts are allowed.
@@ -281,7 +282,13 @@
         Inject(run, item);
     });
   }
-  run.Run(seconds(8), 3 * kRate);
+  // Calm times let borrowers and owner fill up, so that a surge shows tokens
+  // that exist twice.
+  const time_point end = run.clock.Now() + seconds(8);
+  while (run.clock.Now() < end) {
+    run.Run(calm, 0.5 * kRate);
+    run.Run(milliseconds(250), 5 * kRate);
+  }
   return run.checker.WorstOver();
 }
 
@@ -291,7 +298,8 @@
       const auto nodes = *rc::gen::inRange<size_t>(5, 10);
       const auto chosen =
           *rc::gen::container<std::vector<fault>>(faults, AnyFault());
-      RC_ASSERT(WorstOverOf(seed, nodes, chosen) == 0.0);
+      const milliseconds calm(*rc::gen::inRange(100, 1500));
+      RC_ASSERT(WorstOverOf(seed, nodes, chosen, calm) == 0.0);
     }));
 }  // namespace
 };  // namespace skylarkhoist
@@ -312,7 +320,7 @@
 
 // Shows that the check fails when several members mint without a lease.
 TEST(rate_service_histories, CheckFindsTwoMintingOwners) {
-  CHECK_TRUE(WorstOverOf(1, 5, {}, true) > 0);
+  CHECK_TRUE(WorstOverOf(1, 5, {}, seconds(1), true) > 0);
 }
 
 }  // namespace
