Estimate demand without noise and collect late grants

Most token requests in a calm fleet came from a single call that the short estimate took for a surge, and from margins that together exceeded the burst. The short estimate now counts from 5 calls, the margin is one standard deviation, and an owner that is short collects tokens for 15 ms before it serves waiting borrowers.

--- a/decisions/rate_borrower.cc
+++ b/decisions/rate_borrower.cc
@@ -10,13 +10,15 @@
 
 // Tokens for this much demand are held, so that calls pass while a new owner
 // takes over.
-constexpr double kHorizonSeconds = 0.5;
+constexpr double kHorizonSeconds = 0.4;
 // With less than this, more is asked for soon.
-constexpr double kLowSeconds = 0.12;
+constexpr double kLowSeconds = 0.1;
 // Kept when another node lacks tokens.
 constexpr double kKeepSeconds = 0.02;
 constexpr double kFastSeconds = 0.1;
 constexpr double kSlowSeconds = 1.0;
+// The short estimate counts from this many calls in its time.
+constexpr double kSurgeCalls = 5;
 
 // A loan with demand is renewed well before its end, with time for a retry.
 constexpr duration kRenewal = milliseconds(800);
@@ -180,9 +182,12 @@
 }
 
 token_count rate_borrower::Target(double seconds) const {
-  const double calls = std::max(fast_demand_, slow_demand_) * seconds;
-  return kToken *
-         static_cast<token_count>(std::ceil(calls + 2 * std::sqrt(calls)));
+  // A few calls at a time say little about the short term.
+  const bool surge = fast_demand_ * kFastSeconds >= kSurgeCalls;
+  const double demand =
+      surge ? std::max(fast_demand_, slow_demand_) : slow_demand_;
+  const double calls = demand * seconds;
+  return kToken * static_cast<token_count>(std::ceil(calls + std::sqrt(calls)));
 }
 
 borrower_request rate_borrower::MakeRequest(token_count wanted,
--- a/decisions/rate_ledger.cc
+++ b/decisions/rate_ledger.cc
@@ -17,6 +17,7 @@
 
 // A borrower holds a call for at most 50 ms; an older shortage is void.
 constexpr duration kUnmetPeriod = std::chrono::milliseconds(50);
+constexpr duration kLateGrantInterval = std::chrono::milliseconds(15);
 constexpr duration kRecallInterval = std::chrono::milliseconds(25);
 
 // The link silence limit is 1 s, so no copy of a message is later than this.
@@ -126,6 +127,8 @@
 
 std::vector<loan_grant> rate_ledger::TakeLateGrants(time_point now) {
   Advance(now);
+  if (now < late_grants_at_ + kLateGrantInterval)
+    return {};
   std::vector<std::pair<time_point, uint64_t>> waiting;
   for (const auto& [borrower, record] : loans_) {
     if (record.live && record.unmet > 0 &&
@@ -143,6 +146,7 @@
     record.unmet -= amount;
     grants.push_back(
         {borrower, record.loan, record.round, record.granted, false});
+    late_grants_at_ = now;
   }
   return grants;
 }
--- a/decisions/rate_ledger.h
+++ b/decisions/rate_ledger.h
@@ -68,6 +68,8 @@
   void OnBorrowerGone(uint64_t borrower);
 
   // Serves borrowers with waiting calls from what was minted or returned since.
+  // Collects tokens for some milliseconds, so that a customer above its rate
+  // does not cost a message for each token.
   std::vector<loan_grant> TakeLateGrants(time_point now);
 
   // Borrowers that should return what they do not need now, because another
@@ -106,6 +108,7 @@
   token_count level_ = 0;
   token_count lent_ = 0;
   time_point minted_at_;
+  time_point late_grants_at_;
   // Part of a thousandth of a token that is not minted yet, in millionths.
   token_count remainder_ = 0;
   time_point next_expiry_;
