--- a/node/dedup_service_test.cc
+++ b/node/dedup_service_test.cc
@@ -15,6 +15,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Shorter than in service, so that a history holds more roster changes.
+constexpr duration kFresh = seconds(3);
+constexpr duration kFence = milliseconds(4500);
+constexpr duration kSkew = seconds(1);
+
 enum class fault {
   kLoss,
   kCrash,
@@ -36,8 +41,8 @@
 };
 
 // Real dedup services on simulated links. Each node follows a log of rosters;
-// it takes and hands over requests only while it has read the log within 10 s,
-// as the entry does.
+// it takes and hands over requests only while it has read the log lately, as
+// the entry does.
 class fleet {
  public:
   fleet(uint64_t seed, const dedup_claim_options& claim)
@@ -83,12 +88,10 @@
         network_.options().reordering = 0.3 * random_.Fraction();
         break;
       case fault::kCrash:
-        if (nodes_.count(node) != 0) {
-          const uint64_t gone = nodes_.at(node)->incarnation;
-          Crash(node);
-          Later(Time(1, 10000), [this, gone] { Leave(gone); });
-          Later(Time(1, 8000), [this, node] { Start(node); });
-        }
+        CrashForAWhile(node);
+        // Two replicas of a group at once.
+        if (random_.Below(2) == 0)
+          CrashForAWhile(static_cast<int>(random_.Below(kNodes)));
         break;
       case fault::kPause:
         if (nodes_.count(node) != 0 && !nodes_.at(node)->paused) {
@@ -97,8 +100,8 @@
           nodes_.at(node)->clock.Pause();
           network_.PauseNode(Address(node));
           if (random_.Below(3) == 0)
-            Later(Time(1000, 10000), [this, paused] { Leave(paused); });
-          Later(Time(10, 25000), [this, node, paused] {
+            Later(Time(500, 5000), [this, paused] { Leave(paused); });
+          Later(Time(10, 12000), [this, node, paused] {
             if (nodes_.count(node) == 0 ||
                 nodes_.at(node)->incarnation != paused)
               return;
@@ -119,7 +122,7 @@
         const bool log_lost = random_.Below(2) == 0;
         for (auto& [index, each] : nodes_)
           each->log_lost = log_lost && other.count(Address(index)) != 0;
-        Later(Time(100, 25000), [this] {
+        Later(Time(100, 12000), [this] {
           network_.Heal();
           for (auto& each : nodes_)
             each.second->log_lost = false;
@@ -127,11 +130,17 @@
         break;
       }
       case fault::kRosterChanges:
-        // A member is evicted although it lives, or only the version moves.
-        if (random_.Below(2) == 0 && nodes_.count(node) != 0)
-          Leave(nodes_.at(node)->incarnation);
-        else
-          Publish();
+        // In quick succession, members are evicted although they live, or only
+        // the version moves.
+        for (uint64_t changes = 1 + random_.Below(4); changes > 0; --changes) {
+          Later(Time(0, 600), [this] {
+            const int other = static_cast<int>(random_.Below(kNodes));
+            if (random_.Below(2) == 0 && nodes_.count(other) != 0)
+              Leave(nodes_.at(other)->incarnation);
+            else
+              Publish();
+          });
+        }
         break;
       default:
         if (nodes_.count(node) != 0) {
@@ -195,14 +204,20 @@
     }
     void OnLinkUp(const peer_info&) override {}
     void OnLinkDown(const peer_info& peer, link_down_cause cause) override {
-      if (cause == link_down_cause::kRefused ||
-          cause == link_down_cause::kReplaced)
+      if (cause == link_down_cause::kReplaced)
         service->OnPeerGone(peer.address, peer.incarnation);
+      if (cause != link_down_cause::kRefused)
+        return;
+      // Nobody listens: all processes known at this address have ended.
+      for (const roster_member& member : known.members) {
+        if (member.peer_address == peer.address)
+          service->OnPeerGone(peer.address, member.incarnation);
+      }
     }
     fbs::heartbeatT MakeHeartbeat() override { return {}; }
 
     bool Fresh() const {
-      return !stopping && !paused && clock.Now() - read_at <= seconds(10);
+      return !stopping && !paused && clock.Now() - read_at <= kFresh;
     }
 
     uint64_t incarnation = 0;
@@ -215,10 +230,19 @@
     int open = 0;
     bool log_lost = false;
     time_point read_at;
-    uint64_t version = 0;
+    roster_view known;
     std::unique_ptr<dedup_service> service;
   };
 
+  void CrashForAWhile(int node) {
+    if (nodes_.count(node) == 0)
+      return;
+    const uint64_t gone = nodes_.at(node)->incarnation;
+    Crash(node);
+    Later(Time(1, 4000), [this, gone] { Leave(gone); });
+    Later(Time(1, 4000), [this, node] { Start(node); });
+  }
+
   static std::string Address(int node) {
     return "10.0.0." + std::to_string(node) + ":1";
   }
@@ -230,7 +254,7 @@
     process& at = *started;
     at.incarnation = ++incarnations_ * 7919;
     at.wall.clock = &loop_;
-    at.wall.skew = Time(0, 4000);
+    at.wall.skew = Time(0, 900);
     peer_info info{Address(node), "n" + std::to_string(node),
                    "z" + std::to_string(node % 3), at.incarnation};
     peer_transport* transport = network_.AddNode(info);
@@ -240,6 +264,8 @@
     options.claim = claim_;
     options.replica.shards = 4;
     options.replica.new_fleet = true;
+    options.replica.fence = kFence;
+    options.replica.clock_skew = kSkew;
     at.service = std::make_unique<dedup_service>(&at.clock, transport, options,
                                                  &at.wall, &at.counters);
     transport->Start(&at);
@@ -284,10 +310,10 @@
       if (random_.Below(3) == 0)
         at.service->SetRoster(log_.back());
       for (const roster_view& roster : log_) {
-        if (roster.version > at.version)
+        if (roster.version > at.known.version)
           at.service->SetRoster(roster);
       }
-      at.version = log_.back().version;
+      at.known = log_.back();
       if (roster_.Find(at.incarnation) == nullptr) {
         // Reads its own eviction: restarts as a new incarnation.
         Later(milliseconds(0), [this, evicted = at.incarnation] {
@@ -356,7 +382,7 @@
     for (uint64_t keys = random.Below(4); keys > 0; --keys) {
       const std::string key = nodes.MakeKey();
       for (uint64_t copies = 1 + random.Below(4); copies > 0; --copies) {
-        const uint64_t spread = random.Below(3) == 0 ? 30000 : 20;
+        const uint64_t spread = random.Below(2) == 0 ? 20000 : 20;
         nodes.Later(nodes.Time(0, spread), [&nodes, &random, key] {
           nodes.Send(static_cast<int>(random.Below(fleet::kNodes)), key,
                      nodes.Time(500, 5000));
