--- a/decisions/dedup_replica.cc
+++ b/decisions/dedup_replica.cc
@@ -265,11 +265,10 @@
   for (const auto& [shard, state] : shards_) {
     if (!state.member)
       continue;
-    const dedup_group before = GroupInForce(shard);
-    for (const dedup_member& member : DedupGroupOf(rest, shard)) {
-      if (!Contains(before, member.incarnation))
-        states.emplace_back(member, MakeState(shard, now));
-    }
+    // Members that stay need it as well: each asks a majority of this group
+    // when the roster changes, and this node can't answer then.
+    for (const dedup_member& member : DedupGroupOf(rest, shard))
+      states.emplace_back(member, MakeState(shard, now));
   }
   return states;
 }
--- a/decisions/dedup_replica.h
+++ b/decisions/dedup_replica.h
@@ -46,7 +46,7 @@
 };
 
 // A replica's records and what it knows of earlier groups, for a member that is
-// new in the group. Also sent by a node that stops, to the next member.
+// new in the group. Also sent by a node that stops, to the next group.
 struct dedup_sync_state {
   uint32_t shard = 0;
   uint64_t roster_version = 0;
@@ -119,8 +119,8 @@
   // The state of a node that stops.
   void OnHandOver(uint64_t from, const dedup_sync_state& state, time_point now);
 
-  // Grants nothing from now on, and returns the state of each shard with the
-  // member that takes this node's place when it has left the roster.
+  // Grants nothing from now on, and returns the state of each shard with each
+  // member of the group that follows when this node has left the roster.
   std::vector<std::pair<dedup_member, dedup_sync_state>> HandOver(
       time_point now);
 
