--- a/decisions/dedup_replica.cc
+++ b/decisions/dedup_replica.cc
@@ -44,6 +44,7 @@
         state.confirmed.clear();
         state.sync_started = now;
         state.next_ask = now;
+        state.ask_interval = options_.sync_interval;
       }
       continue;
     }
@@ -70,6 +71,7 @@
   state.syncing = true;
   state.sync_started = now;
   state.next_ask = now;
+  state.ask_interval = options_.sync_interval;
   state.confirmed.clear();
   AddToChain(state, EarlierGroups(shard));
   syncing_.insert(shard);
@@ -155,8 +157,10 @@
     }
     if (state.next_ask > now)
       continue;
-    state.next_ask = now + (state.serving ? 5 * options_.sync_interval
-                                          : options_.sync_interval);
+    state.next_ask = now + state.ask_interval;
+    state.ask_interval =
+        std::min(2 * state.ask_interval,
+                 (state.serving ? 25 : 5) * options_.sync_interval);
     std::set<uint64_t> asked{self_};
     const auto ask = [&](const dedup_group& group) {
       for (const dedup_member& member : group) {
@@ -185,6 +189,11 @@
   return requests;
 }
 
+void dedup_replica::AskAgain(time_point now) {
+  for (uint32_t shard : syncing_)
+    shards_.at(shard).next_ask = now;
+}
+
 std::optional<dedup_sync_state> dedup_replica::OnSyncRequest(
     uint32_t shard,
     uint64_t version,
--- a/decisions/dedup_replica.h
+++ b/decisions/dedup_replica.h
@@ -28,6 +28,8 @@
   // After this time no node admits or hands over keyed work under an older
   // roster version: its configuration is stale after 10 s without news.
   duration fence = std::chrono::seconds(15);
+  // First interval between questions to a node that does not answer. It doubles
+  // up to five times this, or 25 times once the shard is served.
   duration sync_interval = std::chrono::milliseconds(200);
   // Roster versions remembered.
   size_t history = 16;
@@ -105,6 +107,9 @@
   // Whom to ask now for which shard; each until it has answered.
   std::vector<dedup_sync_request> OnTick(time_point now, wall_time wall);
 
+  // A peer has reached the version in force and can answer what it ignored.
+  void AskAgain(time_point now);
+
   // Nothing unless `version` is in force here: by answering, this node
   // confirms that it refuses claims of older versions.
   std::optional<dedup_sync_state> OnSyncRequest(uint32_t shard,
@@ -152,6 +157,7 @@
     bool syncing = false;
     time_point sync_started;
     time_point next_ask;
+    duration ask_interval;
     std::map<uint64_t, dedup_group> chain;
     // sighted_through of the nodes that confirmed the version in force.
     std::map<uint64_t, uint64_t> confirmed;
--- a/node/dedup_service.cc
+++ b/node/dedup_service.cc
@@ -152,6 +152,7 @@
 
 void dedup_service::SetRoster(const roster_view& roster) {
   replica_.SetRoster(roster, loop_->Now());
+  peer_versions_.clear();
   std::vector<request_id> open;
   for (auto& [id, claim] : claims_) {
     claim.claim.SetGroup(replica_.roster_version(),
@@ -166,9 +167,12 @@
 }
 
 void dedup_service::OnPeerVersion(uint64_t incarnation, uint64_t version) {
-  // A replica that just reached this version can answer what it ignored.
-  if (version != replica_.roster_version())
+  uint64_t& known = peer_versions_[incarnation];
+  const bool reached = known != version && version == replica_.roster_version();
+  known = version;
+  if (!reached)
     return;
+  replica_.AskAgain(loop_->Now());
   for (auto& [id, end] : ends_) {
     if (end.confirmed.count(incarnation) == 0)
       end.next_send = std::min(end.next_send, loop_->Now());
@@ -181,6 +185,7 @@
     return;
   LogStateChange("dedup", "peer_gone", {{"peer", address}});
   replica_.OnOriginGone(incarnation);
+  peer_versions_.erase(incarnation);
   std::vector<request_id> open;
   for (auto& [id, claim] : claims_) {
     claim.claim.OnMemberGone(incarnation, loop_->Now());
--- a/node/dedup_service.h
+++ b/node/dedup_service.h
@@ -154,6 +154,8 @@
   std::map<std::pair<uint64_t, uint32_t>, partial_state> partial_;
   std::map<std::pair<uint64_t, uint32_t>, open_hand_over> hand_overs_;
   uint32_t sync_round_ = 0;
+  // Roster versions that peers reported since the last change here.
+  std::unordered_map<uint64_t, uint64_t> peer_versions_;
   std::function<void()> drained_;
   time_point drain_until_;
   timer_id tick_ = 0;
