Test planned stops and the content of stored answers

Cause: the property counts runs only; a stop that waits for its bound, or a copy that gets an empty answer, would have passed.

Change: one test of planned stops without faults, and a check of the answer that a second copy gets.

Figures: four planned stops in a row finish within 500 ms each and no key is refused.

Conclusion: hand-over is confirmed by the next group as designed.

--- a/node/dedup_service_test.cc
+++ b/node/dedup_service_test.cc
@@ -83,6 +83,8 @@
                       [this, &at, id, key](const dedup_decision& decision) {
                         --at.open;
                         ++verdicts_[decision.verdict];
+                        if (decision.verdict == dedup_verdict::kAnswered)
+                          CHECK_EQUAL(200, decision.answer->status);
                         if (decision.verdict == dedup_verdict::kRun)
                           HandOver(at, id, key, decision.valid_until);
                       });
@@ -156,7 +158,9 @@
         if (nodes_.count(node) != 0) {
           const uint64_t stopping = nodes_.at(node)->incarnation;
           nodes_.at(node)->stopping = true;
-          nodes_.at(node)->service->Drain([this, node, stopping] {
+          const time_point began = loop_.Now();
+          nodes_.at(node)->service->Drain([this, node, stopping, began] {
+            longest_drain_ = std::max(longest_drain_, loop_.Now() - began);
             Later(milliseconds(0), [this, node, stopping] {
               if (nodes_.count(node) == 0 ||
                   nodes_.at(node)->incarnation != stopping)
@@ -201,7 +205,7 @@
   }
   int verdicts(dedup_verdict verdict) { return verdicts_[verdict]; }
   const std::map<std::string, int>& runs() const { return runs_; }
-  size_t live() const { return nodes_.size(); }
+  duration longest_drain() const { return longest_drain_; }
   static constexpr int kNodes = 6;
 
  private:
@@ -376,6 +380,7 @@
   std::vector<std::unique_ptr<process>> ended_;
   std::map<std::string, int> runs_;
   std::map<dedup_verdict, int> verdicts_;
+  duration longest_drain_ = duration::zero();
 };
 
 // Runs one history with faults of one or two kinds. Returns the highest number
@@ -460,5 +465,21 @@
     CHECK_EQUAL(1, count);
 }
 
+// Guards against a planned stop that waits for its bound because the next group
+// does not confirm the records, and against keys refused after it.
+TEST(dedup_service, PlannedStopIsConfirmedSoon) {
+  fleet nodes(3, {});
+  for (int stop = 0; stop < 4; ++stop) {
+    for (int i = 0; i < 10; ++i)
+      nodes.Send(i % fleet::kNodes, nodes.MakeKey(), seconds(5));
+    nodes.Run(seconds(4));
+    nodes.Inject(fault::kStops);
+    nodes.Run(seconds(8));
+  }
+  CHECK_TRUE(nodes.longest_drain() > duration::zero());
+  CHECK_TRUE(nodes.longest_drain() < milliseconds(500));
+  CHECK_EQUAL(0, nodes.verdicts(dedup_verdict::kUnavailable));
+}
+
 }  // namespace
 }  // namespace skylarkhoist
