--- a/decisions/routing_policy.h
+++ b/decisions/routing_policy.h
@@ -20,6 +20,8 @@
   bool same_zone = false;
   // Calls that this node has open there.
   int open_calls = 0;
+  // The same when the last load report arrived; below 0 when unknown.
+  int open_at_load = -1;
   // Last load that the executing node reported, and when. 1000 means full.
   uint32_t load_permille = 0;
   time_point load_at;
