--- a/decisions/target_gate_test.cc
+++ b/decisions/target_gate_test.cc
@@ -4,8 +4,7 @@
 
 #include <algorithm>
 
-#include "testing/fake_targets.h"
-#include "testing/manual_loop.h"
+#include "testing/saturated_target.h"
 
 namespace skylarkhoist {
 namespace {
@@ -13,70 +12,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr char kAddress[] = "10.0.0.1:80";
-
-// One gate in front of one fake target, with calls waiting at all times.
-struct saturated_target {
-  explicit saturated_target(const fake_target_options& options,
-                            uint64_t seed = 1)
-      : targets(loop, seed), gate(Settings(options), loop.Now()) {
-    targets.Add(kAddress, options);
-    Fill();
-  }
-
-  static service_config Settings(const fake_target_options& options) {
-    service_config settings;
-    settings.cold_capacity = options.cold_capacity;
-    return settings;
-  }
-
-  void Fill() {
-    gate.TakeRefused(loop.Now());
-    while (gate.waiting() < static_cast<size_t>(gate.limit())) {
-      gate_call call;
-      call.id = {1, ++sequence};
-      call.deadline = loop.Now() + seconds(60);
-      if (gate.Enqueue(call, loop.Now()))
-        break;
-    }
-    while (auto next = gate.TakeNext(loop.Now())) {
-      targets.Call(kAddress, {}, seconds(10),
-                   [this, id = next->id](const target_result& result) {
-                     if (result.error == target_error::kConnectRefused) {
-                       gate.ResetCold(loop.Now());
-                     }
-                     gate.OnFinished(id,
-                                     result.error == target_error::kNone
-                                         ? gate_result::kSuccess
-                                         : gate_result::kError,
-                                     loop.Now());
-                     if (result.error == target_error::kNone)
-                       Fill();
-                   });
-    }
-    if (loop.Now() >= next_fill) {
-      next_fill = loop.Now() + milliseconds(1);
-      loop.RunAfter(milliseconds(1), [this] { Fill(); });
-    }
-  }
-
-  // Average limit over `span`, from samples each 100 ms.
-  double AverageLimit(duration span) {
-    double sum = 0;
-    int count = 0;
-    for (const time_point end = loop.Now() + span; loop.Now() < end; ++count) {
-      loop.Advance(milliseconds(100));
-      sum += gate.limit();
-    }
-    return sum / count;
-  }
-
-  manual_loop loop;
-  fake_targets targets;
-  target_gate gate;
-  uint64_t sequence = 0;
-  time_point next_fill;
-};
+constexpr const char* kAddress = saturated_target::kAddress;
 
 fake_target_options Target(int slots, milliseconds service_time) {
   fake_target_options options;
@@ -96,7 +32,7 @@
     for (const int service_time : {10, 40}) {
       saturated_target run(Target(slots, milliseconds(service_time)));
       run.loop.Advance(seconds(12));
-      const double found = run.AverageLimit(seconds(8));
+      const double found = run.Limits(seconds(8)).mean;
       if (found < slots * 0.85 || found > slots * 1.15) {
         FAIL(StringFromFormat("%d slots, %d ms: limit %.1f", slots,
                               service_time, found)
@@ -114,9 +50,9 @@
     run.loop.Advance(seconds(20));
     run.targets.SlowDown(kAddress, factor, seconds(20));
     run.loop.Advance(seconds(10));
-    const double during = run.AverageLimit(seconds(10));
+    const double during = run.Limits(seconds(10)).mean;
     run.loop.Advance(seconds(2));
-    const double after = run.AverageLimit(seconds(5));
+    const double after = run.Limits(seconds(5)).mean;
     if (during < 100 || during > 140 || after < 100 || after > 140) {
       FAIL(StringFromFormat("factor %.1f: limit %.1f during, %.1f after",
                             factor, during, after)
--- /dev/null
+++ b/testing/saturated_target.h
@@ -0,0 +1,90 @@
+#ifndef TESTING_SATURATED_TARGET_H_
+#define TESTING_SATURATED_TARGET_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+#include "decisions/target_gate.h"
+#include "testing/fake_targets.h"
+#include "testing/manual_loop.h"
+
+namespace skylarkhoist {
+
+// One gate in front of one fake target, with calls waiting at all times.
+struct saturated_target {
+  static constexpr const char* kAddress = "10.0.0.1:80";
+
+  explicit saturated_target(const fake_target_options& options,
+                            uint64_t seed = 1)
+      : targets(loop, seed), gate(Settings(options), loop.Now()) {
+    targets.Add(kAddress, options);
+    Fill();
+  }
+
+  static service_config Settings(const fake_target_options& options) {
+    service_config settings;
+    settings.cold_capacity = options.cold_capacity;
+    return settings;
+  }
+
+  void Fill() {
+    gate.TakeRefused(loop.Now());
+    while (gate.waiting() < static_cast<size_t>(gate.limit())) {
+      gate_call call;
+      call.id = {1, ++sequence};
+      call.deadline = loop.Now() + std::chrono::seconds(60);
+      if (gate.Enqueue(call, loop.Now()))
+        break;
+    }
+    while (auto next = gate.TakeNext(loop.Now())) {
+      targets.Call(kAddress, {}, std::chrono::seconds(10),
+                   [this, id = next->id](const target_result& result) {
+                     if (result.error == target_error::kConnectRefused) {
+                       gate.ResetCold(loop.Now());
+                     }
+                     gate.OnFinished(id,
+                                     result.error == target_error::kNone
+                                         ? gate_result::kSuccess
+                                         : gate_result::kError,
+                                     loop.Now());
+                     if (result.error == target_error::kNone)
+                       Fill();
+                   });
+    }
+    if (loop.Now() >= next_fill) {
+      next_fill = loop.Now() + std::chrono::milliseconds(1);
+      loop.RunAfter(std::chrono::milliseconds(1), [this] { Fill(); });
+    }
+  }
+
+  struct limit_range {
+    double mean = 0;
+    int least = 0;
+    int most = 0;
+  };
+
+  // The limit over `span`, from samples each 100 ms.
+  limit_range Limits(duration span) {
+    limit_range range{0, gate.limit(), gate.limit()};
+    int count = 0;
+    for (const time_point end = loop.Now() + span; loop.Now() < end; ++count) {
+      loop.Advance(std::chrono::milliseconds(100));
+      range.mean += gate.limit();
+      range.least = std::min(range.least, gate.limit());
+      range.most = std::max(range.most, gate.limit());
+    }
+    range.mean /= std::max(count, 1);
+    return range;
+  }
+
+  manual_loop loop;
+  fake_targets targets;
+  target_gate gate;
+  uint64_t sequence = 0;
+  time_point next_fill;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // TESTING_SATURATED_TARGET_H_
