Do not reuse a target connection with unread bytes

Cause: bytes that a target sends after a response stay in evhttp's buffer, and the connection was used again; the next call would have got them as its response. An interim response other than 100 ended the call, with the real response still to come.

Change: a connection with unread bytes, in the buffer or in the socket, is closed instead of pooled or reused; a final status below 200 is kMalformed.

Conclusion: a response reaches only the call on whose connection it is the first thing read. A target that sends extra bytes after the check, while the next request is on its way, cannot be told from one that answers.

--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -58,7 +58,11 @@
 // True when the response tells in one way where its body ends.
 bool HasDelimitedBody(evhttp_request* request) {
   const int status = evhttp_request_get_response_code(request);
-  if (status < 200 || status == 204 || status == 304 ||
+  // evhttp takes an interim response other than 100 for the whole; the real one
+  // would follow and be taken for that of the next call.
+  if (status < 200)
+    return false;
+  if (status == 204 || status == 304 ||
       evhttp_request_get_command(request) == EVHTTP_REQ_HEAD)
     return true;
   const evkeyvalq* fields = evhttp_request_get_input_headers(request);
@@ -81,11 +85,12 @@
                                 &peer.length) == 0;
 }
 
-// An idle connection has nothing to read; bytes or an end make it useless.
+// An idle connection has nothing to read. Bytes after a response would be taken
+// for the response to the next call.
 bool IsUsable(evhttp_connection* connection) {
-  const int fd =
-      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-  if (fd < 0)
+  bufferevent* stream = evhttp_connection_get_bufferevent(connection);
+  const int fd = bufferevent_getfd(stream);
+  if (fd < 0 || evbuffer_get_length(bufferevent_get_input(stream)) > 0)
     return false;
   char byte = 0;
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
@@ -357,8 +362,7 @@
                                   evhttp_connection* connection) {
   std::vector<idle_connection>& pool = idle_[address];
   // evhttp has closed the socket when the target asked for that.
-  if (bufferevent_getfd(evhttp_connection_get_bufferevent(connection)) < 0 ||
-      pool.size() >= settings_.max_idle_per_target) {
+  if (!IsUsable(connection) || pool.size() >= settings_.max_idle_per_target) {
     FreeLater(connection);
     return;
   }
--- a/wire/http_target_client_test.cc
+++ b/wire/http_target_client_test.cc
@@ -240,6 +240,44 @@
   }
 }
 
+// Guards against a response that reaches the wrong call: bytes that follow a
+// response, at once or later, must not answer the next request.
+TEST(http_target_client, BytesAfterAResponseAnswerNoCall) {
+  const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+  struct {
+    const char* name;
+    std::string bytes;
+    std::string later;
+    target_error error;
+  } const cases[] = {
+      {"same packet", extra + extra, "", target_error::kNone},
+      {"later packet", extra, extra, target_error::kNone},
+      {"interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + extra, "",
+       target_error::kMalformed},
+      {"upgrade", "HTTP/1.1 101 Switching\r\n\r\n", extra,
+       target_error::kMalformed},
+      {"body of 204", "HTTP/1.1 204 No Content\r\n\r\n" + extra, "",
+       target_error::kNone},
+  };
+  for (const auto& each : cases) {
+    Call(Request("GET"));
+    CHECK_TRUE_TEXT(AcceptOne(), each.name);
+    ReadUntil("\r\n\r\n");
+    accepted.Write(each.bytes);
+    CheckError(each.error, true, each.name);
+    if (!each.later.empty())
+      accepted.Write(each.later);
+    Call(Request("GET"));
+    CHECK_TRUE_TEXT(AcceptOne(), each.name);
+    ReadUntil("\r\n\r\n");
+    accepted.Write(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\n"
+        "own");
+    CheckError(target_error::kNone, true, each.name);
+    STRCMP_EQUAL_TEXT("own", result->response.body.c_str(), each.name);
+  }
+}
+
 // Guards against idle connections that are kept or used for too long.
 TEST(http_target_client, IdleConnectionsAreClosed) {
   Call(Request("GET"));
