Remember different groups of a shard instead of roster versions

Cause: replicas remembered 16 roster versions. The loss of a zone at the target size makes about 200 evict records in a row, so the groups that a new member has to ask would have been forgotten.

Change: each shard keeps its last 16 different groups, each with the last version that had it.

Conclusion: the chain of earlier groups now depends on changes of the group only.

--- a/decisions/dedup_replica.cc
+++ b/decisions/dedup_replica.cc
@@ -17,27 +17,25 @@
 
 void dedup_replica::SetRoster(const roster_view& roster, time_point now) {
   const uint64_t previous = roster_version();
-  if (!history_.empty() && roster.version <= previous)
+  if (roster.version <= previous)
     return;
   const bool first = history_.empty();
-  shard_groups groups;
-  groups.reserve(options_.shards);
-  for (uint32_t shard = 0; shard < options_.shards; ++shard)
-    groups.push_back(DedupGroupOf(roster, shard));
   roster_ = roster;
-  const shard_groups& now_in_force =
-      history_.emplace(roster.version, std::move(groups)).first->second;
-  while (history_.size() > options_.history)
-    history_.erase(history_.begin());
-
+  history_.resize(options_.shards);
   const bool alone = first && options_.new_fleet && roster.members.size() == 1;
   for (uint32_t shard = 0; shard < options_.shards; ++shard) {
-    const bool member = Contains(now_in_force[shard], self_);
+    dedup_group group = DedupGroupOf(roster, shard);
+    const bool member = Contains(group, self_);
+    auto& groups = history_[shard];
+    const bool same_group = !first && groups.rbegin()->second == group;
+    if (same_group)
+      groups.erase(std::prev(groups.end()));
+    groups.emplace(roster.version, std::move(group));
+    while (groups.size() > options_.history)
+      groups.erase(groups.begin());
     if (!member && shards_.count(shard) == 0)
       continue;
     shard_state& state = shards_[shard];
-    const bool same_group =
-        !first && history_.at(previous)[shard] == now_in_force[shard];
     if (same_group) {
       if (state.syncing) {
         // Nodes must confirm the new version, and the fence begins again.
@@ -80,10 +78,8 @@
 
 std::map<uint64_t, dedup_group> dedup_replica::EarlierGroups(
     uint32_t shard) const {
-  std::map<uint64_t, dedup_group> groups;
-  const auto in_force = std::prev(history_.end());
-  for (auto each = history_.begin(); each != in_force; ++each)
-    groups.emplace(each->first, each->second[shard]);
+  std::map<uint64_t, dedup_group> groups = history_[shard];
+  groups.erase(std::prev(groups.end()));
   return groups;
 }
 
@@ -285,7 +281,7 @@
 dedup_group dedup_replica::GroupInForce(uint32_t shard) const {
   if (history_.empty() || shard >= options_.shards)
     return {};
-  return history_.rbegin()->second[shard];
+  return history_[shard].rbegin()->second;
 }
 
 bool dedup_replica::IsServing(uint32_t shard) const {
--- a/decisions/dedup_replica.h
+++ b/decisions/dedup_replica.h
@@ -31,7 +31,8 @@
   // First interval between questions to a node that does not answer. It doubles
   // up to five times this, or 25 times once the shard is served.
   duration sync_interval = std::chrono::milliseconds(200);
-  // Roster versions remembered.
+  // Different groups remembered for each shard. The loss of a zone changes a
+  // group a few times, however many roster versions it takes.
   size_t history = 16;
   // Set only for a fleet that has never served before: its first node, alone in
   // the roster, takes every key as fresh.
@@ -129,9 +130,7 @@
   std::vector<std::pair<dedup_member, dedup_sync_state>> HandOver(
       time_point now);
 
-  uint64_t roster_version() const {
-    return history_.empty() ? 0 : history_.rbegin()->first;
-  }
+  uint64_t roster_version() const { return roster_.version; }
   // The group of `shard` under the version in force.
   dedup_group GroupInForce(uint32_t shard) const;
 
@@ -164,7 +163,6 @@
     // The same of nodes that stopped; valid for all later versions.
     std::map<uint64_t, uint64_t> handed;
   };
-  using shard_groups = std::vector<dedup_group>;
 
   uint64_t SightedThrough(const shard_state& state) const;
   void StartSync(uint32_t shard, shard_state& state, time_point now);
@@ -189,10 +187,11 @@
   uint64_t self_;
   dedup_replica_options options_;
   bool draining_ = false;
-  // Members of the roster in force, to compute the group without this node.
+  // In force; version 0 before the first one.
   roster_view roster_;
-  // Groups of all shards by roster version; the last is in force.
-  std::map<uint64_t, shard_groups> history_;
+  // Different groups of each shard by the last version that had them; the last
+  // one is in force. Empty before the first roster.
+  std::vector<std::map<uint64_t, dedup_group>> history_;
   std::unordered_map<uint32_t, shard_state> shards_;
   std::set<uint32_t> syncing_;
   std::set<uint32_t> blind_;
