Evict silent members from the roster

Cause: a machine that was replaced stayed in the roster for ever, so groups of replicas and witnesses lost members until they had no majority.

Change: roster_keeper joins, evicts members that nobody heard of for 30 s and tells a node that it was evicted, upon which its process drains and exits with code 75. Only a node that hears a majority evicts; one member is first in line, the others wait 15 s longer.

After: it is gone with one append; a cut off minority of 2 in 6 evicts nobody in 90 s.

Conclusion: the groups repair themselves while the log can be written.

--- a/cli/node_process.cc
+++ b/cli/node_process.cc
@@ -9,6 +9,9 @@
 namespace skylarkhoist {
 namespace {
 
+// Tells the supervisor of the process to start it again.
+constexpr int kEvictedExitCode = 75;
+
 // How long an open response may still take to leave the process at its end.
 constexpr duration kFlushTime = std::chrono::milliseconds(500);
 
@@ -94,6 +97,10 @@
   parts.wall = &wall_;
   parts.counters = &metrics_;
   node_ = std::make_unique<node>(NodeOptions(settings, incarnation_), parts);
+  node_->OnEvicted([this] {
+    exit_code_ = kEvictedExitCode;
+    Stop();
+  });
 }
 
 tl::expected<void, findings> node_process::Listen() {
@@ -123,10 +130,11 @@
     exchange->OnGone([this, id] { node_->HandleGone(id); });
 }
 
-void node_process::Run() {
+int node_process::Run() {
   loop_.OnSignal(SIGTERM, [this] { Stop(); });
   loop_.OnSignal(SIGINT, [this] { Stop(); });
   loop_.Run();
+  return exit_code_;
 }
 
 void node_process::Stop() {
@@ -148,8 +156,7 @@
     std::fputs(listening.error().ToText().c_str(), stderr);
     return 1;
   }
-  process.Run();
-  return 0;
+  return process.Run();
 }
 
 }  // namespace skylarkhoist
--- a/cli/node_process.h
+++ b/cli/node_process.h
@@ -28,8 +28,9 @@
   // Opens the listeners; reports all addresses that cannot be bound.
   tl::expected<void, findings> Listen();
 
-  // Runs until SIGTERM or SIGINT and the planned stop that follows.
-  void Run();
+  // Runs until SIGTERM or SIGINT and the planned stop that follows. Returns the
+  // exit code: 0, or 75 after an eviction, when the process should start anew.
+  int Run();
 
  private:
   void Serve(const http_request& request,
@@ -49,6 +50,7 @@
   http_server public_server_;
   http_server local_server_;
   bool stopping_ = false;
+  int exit_code_ = 0;
 };
 
 // Runs a node until it is told to stop. Returns the exit code of the process.
--- a/node/membership.cc
+++ b/node/membership.cc
@@ -321,6 +321,14 @@
   return entries;
 }
 
+time_point membership::LastHeard(const roster_member& member) const {
+  const auto found = members_.find(member.peer_address);
+  if (found == members_.end() ||
+      found->second.entry.incarnation != member.incarnation)
+    return {};
+  return std::max(found->second.last_contact, found->second.entry_at);
+}
+
 bool membership::HearsMajority() const {
   const time_point now = loop_->Now();
   // Probes of the last tick had no time to be answered.
--- a/node/membership.h
+++ b/node/membership.h
@@ -89,6 +89,10 @@
   // sample.
   bool HearsMajority() const;
 
+  // Last sign of life of a roster member, from itself or by gossip; the epoch
+  // when there was none.
+  time_point LastHeard(const roster_member& member) const;
+
   // Called with the address and the offset that a peer reported.
   void OnPeerOffset(
       std::function<void(const std::string&, uint64_t)> callback) {
--- a/node/node.cc
+++ b/node/node.cc
@@ -52,6 +52,13 @@
   return result;
 }
 
+roster_keeper_options RosterOptions(const node_options& options) {
+  roster_keeper_options result;
+  result.self = {options.name, options.zone, options.peer_address,
+                 options.incarnation};
+  return result;
+}
+
 rate_service_options RateOptions(const node_options& options) {
   rate_service_options result;
   result.incarnation = options.incarnation;
@@ -121,6 +128,11 @@
           FollowerOptions(options_),
           [this] { return members_.LivePeers(); },
           parts.counters),
+      roster_(parts.run_loop,
+              &config_,
+              &members_,
+              RosterOptions(options_),
+              parts.counters),
       rates_(parts.run_loop,
              &transport_,
              RateOptions(options_),
@@ -159,6 +171,7 @@
   transport_.Start(this);
   members_.Start();
   config_.Start();
+  roster_.Start();
   housekeeping_timer_ =
       parts_.run_loop->RunAfter(kHousekeepingInterval, [this] { Housekeep(); });
 }
@@ -179,17 +192,9 @@
                              members_.HearsMajority());
 }
 
-// Joins the roster and keeps what gossip says of the local targets' load up to
-// date.
+// Keeps what gossip says of the local targets' load up to date.
 void node::Housekeep() {
   members_.SetTargets(executor_.DescribeTargets());
-  const bool member = config_.roster().Find(options_.incarnation) != nullptr;
-  if (!member && !joining_ && !draining_ && config_.ready()) {
-    joining_ = true;
-    config_.AppendJoin({options_.name, options_.zone, options_.peer_address,
-                        options_.incarnation},
-                       [this](const append_result&) { joining_ = false; });
-  }
   housekeeping_timer_ =
       parts_.run_loop->RunAfter(kHousekeepingInterval, [this] { Housekeep(); });
 }
@@ -391,7 +396,7 @@
 
 void node::FinishDrain() {
   members_.AnnounceGone();
-  config_.AppendLeave(options_.incarnation, [](const append_result&) {});
+  roster_.Leave();
   // Gives the last messages time to leave.
   parts_.run_loop->RunAfter(std::chrono::milliseconds(200), [this] {
     LogStateChange("node", "drained", {{"node", options_.name}});
--- a/node/node.h
+++ b/node/node.h
@@ -17,6 +17,7 @@
 #include "node/loopback_transport.h"
 #include "node/membership.h"
 #include "node/rate_service.h"
+#include "node/roster_keeper.h"
 #include "wire/log_client.h"
 #include "wire/peer_transport.h"
 #include "wire/target_client.h"
@@ -81,6 +82,12 @@
   config_follower& config() { return config_; }
   membership& members() { return members_; }
 
+  // Runs once when the fleet took this node for dead and evicted it. Its
+  // incarnation cannot return, so the process should drain and start anew.
+  void OnEvicted(std::function<void()> callback) {
+    roster_.OnEvicted(std::move(callback));
+  }
+
   // State of this node and what it knows of the fleet.
   json Status() const;
 
@@ -106,9 +113,9 @@
   executor executor_;
   entry entry_;
   config_follower config_;
+  roster_keeper roster_;
   rate_service rates_;
   dedup_service dedup_;
-  bool joining_ = false;
   bool draining_ = false;
   std::function<void()> drained_;
   timer_id housekeeping_timer_ = 0;
--- /dev/null
+++ b/node/roster_keeper_test.cc
@@ -0,0 +1,80 @@
+#include "node/roster_keeper.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "testing/deployments.h"
+
+namespace skylarkhoist {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr duration kFormation = seconds(6);
+
+size_t RosterSize(fleet& cluster, size_t machine) {
+  return cluster.node_of(machine)->config().roster().members.size();
+}
+
+TEST_GROUP(roster_keeper){};
+
+// Guards against dead members that stay in the roster and weaken the groups of
+// the shards that they held.
+TEST(roster_keeper, EvictsADeadMemberOnce) {
+  fleet cluster(SmallDeployment(6), 1);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(kFormation);
+  CHECK_EQUAL(6, RosterSize(cluster, 0));
+  cluster.KillNode(3);
+  cluster.Advance(seconds(25));
+  CHECK_EQUAL(6, RosterSize(cluster, 0));
+  const uint64_t appends = cluster.log().appends();
+  cluster.Advance(seconds(35));
+  CHECK_EQUAL(5, RosterSize(cluster, 0));
+  CHECK_EQUAL(appends + 1, cluster.log().appends());
+}
+
+// Guards against a cut off minority that evicts the rest of the fleet.
+TEST(roster_keeper, MinorityEvictsNobody) {
+  fleet cluster(SmallDeployment(6), 1);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(kFormation);
+  std::set<std::string> minority{cluster.PeerAddress(0),
+                                 cluster.PeerAddress(1)};
+  std::set<std::string> rest;
+  for (size_t i = 2; i < 6; ++i)
+    rest.insert(cluster.PeerAddress(i));
+  cluster.network().Partition(minority, rest);
+  cluster.Advance(seconds(90));
+  for (size_t i = 2; i < 6; ++i) {
+    CHECK_EQUAL(4, RosterSize(cluster, i));
+  }
+}
+
+// Guards against a node that goes on with records that the fleet gave up.
+TEST(roster_keeper, EvictedNodeIsTold) {
+  fleet cluster(SmallDeployment(6), 1);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(kFormation);
+  int told = 0;
+  cluster.node_of(2)->OnEvicted([&told] { ++told; });
+  cluster.PauseNode(2);
+  cluster.Advance(seconds(60));
+  CHECK_EQUAL(0, told);
+  cluster.ResumeNode(2);
+  cluster.Advance(seconds(5));
+  CHECK_EQUAL(1, told);
+}
+
+// Guards against an eviction of the old process that hits its successor.
+TEST(roster_keeper, RestartReplacesTheMember) {
+  fleet cluster(SmallDeployment(6), 1);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(kFormation);
+  cluster.KillNode(1);
+  cluster.StartNode(1);
+  cluster.Advance(seconds(90));
+  CHECK_EQUAL(6, RosterSize(cluster, 0));
+}
+
+}  // namespace
+}  // namespace skylarkhoist
