Test that a new owner waits for loans that nobody reports

Guards the early start: a node that holds tokens and is cut off while the owner crashes must keep the next owner from minting until its loan has ended.

--- a/node/rate_service_test.cc
+++ b/node/rate_service_test.cc
@@ -111,6 +111,29 @@
   CHECK_EQUAL(0, run.checker.WorstOver());
 }
 
+// Guards against an early start while a node that does not answer may still
+// spend what the former owner lent to it.
+TEST(rate_service, WaitsForLoansThatNobodyReports) {
+  loaded_fleet run(7, 9);
+  run.clock.Advance(seconds(11));
+  const auto owner = static_cast<size_t>(run.fleet.OwnerOf("acme"));
+  const size_t cut_off = (owner + 1) % 9;
+  for (int i = 0; i < 30; ++i)
+    run.Call(cut_off);
+  run.clock.Advance(milliseconds(50));
+  std::set<std::string> others;
+  for (size_t i = 0; i < 9; ++i) {
+    if (i != cut_off)
+      others.insert(run.fleet.address(i));
+  }
+  run.network.Partition({run.fleet.address(cut_off)}, others);
+  run.fleet.Crash(owner);
+  run.clock.Advance(milliseconds(1500));
+  CHECK_EQUAL(0, run.fleet.OwnerCount("acme"));
+  run.clock.Advance(milliseconds(1500));
+  CHECK_EQUAL(1, run.fleet.OwnerCount("acme"));
+}
+
 // Guards against a planned stop that costs callers tokens.
 TEST(rate_service, DrainHandsTokensToTheNextOwner) {
   loaded_fleet run(5, 9);
