Slow the steps of admission for deep services

Cause: a cut of the rate shows at a deep service only after the work before it. Change: deep services take steps of 200 ms, aim at 2000 permille and grow by up to 2 a step. A critical call is not refused within 250 ms of a less important one that passed.

--- a/decisions/admission.cc
+++ b/decisions/admission.cc
@@ -10,6 +10,9 @@
 
 // Long enough for answers to show the effect of the previous step.
 constexpr duration kInterval = milliseconds(50);
+// The same for a service deeper in the chain, which a call reaches only after
+// the work of the services before it.
+constexpr duration kChainInterval = milliseconds(200);
 // Time constant of the average over reports.
 constexpr double kLevelSeconds = 0.03;
 // Bounds of one step of the rate. A drop to a third, as in a surge to three
@@ -17,6 +20,8 @@
 constexpr double kLargestCut = 0.7;
 constexpr double kSmallestGrowth = 1.01;
 constexpr double kLargestGrowth = 1.5;
+// Steps of a deep service are rarer, so they are larger where there is room.
+constexpr double kLargestChainGrowth = 2.0;
 // The rate never falls below this share of the demand: the calls that pass keep
 // the view fresh, and the rate returns within a second.
 constexpr double kProbeShare = 0.02;
@@ -49,7 +54,7 @@
 
 void admission::Adjust(service_state& state, time_point now) {
   const duration elapsed = now - state.interval_start;
-  if (elapsed < kInterval)
+  if (elapsed < (state.deep ? kChainInterval : kInterval))
     return;
   const double seconds = Seconds(elapsed);
   // After a pause the old averages say nothing.
@@ -70,7 +75,8 @@
   double demand = 0;
   for (const double rate : state.demand)
     demand += rate;
-  const double ratio = state.level / kTargetLoad;
+  const double ratio =
+      state.level / (state.deep ? kChainTargetLoad : kTargetLoad);
   if (ratio > 1.0) {
     const double from = state.allowed
                             ? std::min(*state.allowed, state.passed_rate * 1.5)
@@ -78,8 +84,9 @@
     const double cut = std::clamp(1.0 - (ratio - 1.0) * 0.5, kLargestCut, 1.0);
     state.allowed = std::max({from * cut, demand * kProbeShare, 1.0});
   } else if (state.allowed) {
-    const double growth =
-        std::clamp(1.0 + (1.0 - ratio) * 0.8, kSmallestGrowth, kLargestGrowth);
+    const double growth = std::clamp(
+        1.0 + (1.0 - ratio) * (state.deep ? 1.6 : 0.8), kSmallestGrowth,
+        state.deep ? kLargestChainGrowth : kLargestGrowth);
     *state.allowed *= growth;
     if (*state.allowed > std::max(demand, state.passed_rate) * kUnlimitedAt)
       state.allowed.reset();
@@ -102,6 +109,16 @@
          now - state.last_probe >= kProbeInterval;
 }
 
+bool admission::LowerPassed(const service_state& state,
+                            size_t rank,
+                            time_point now) {
+  for (size_t lower = 0; lower < rank; ++lower) {
+    if (now - state.passed_at[lower] < kClassHold)
+      return true;
+  }
+  return false;
+}
+
 bool admission::HigherRefused(const service_state& state,
                               size_t rank,
                               time_point now) {
@@ -121,8 +138,11 @@
     random_source& random) {
   const auto index = static_cast<size_t>(rank);
   std::vector<service_state*> chain = {&services_[service]};
-  for (const std::string& name : downstream)
-    chain.push_back(&services_[name]);
+  for (const std::string& name : downstream) {
+    service_state& state = services_[name];
+    state.deep = true;
+    chain.push_back(&state);
+  }
 
   // One draw for the whole chain: the tightest service decides, and two short
   // services don't multiply their refusals.
@@ -139,7 +159,9 @@
           state->level > kAdmittedLoad && draw >= kAdmittedLoad / state->level;
     } else if (HigherRefused(*state, index, now)) {
       refuse = true;
-    } else if (draw >= PassShare(*state, index)) {
+    } else if (draw >= PassShare(*state, index) &&
+               (rank != priority_class::kCritical ||
+                !LowerPassed(*state, index, now))) {
       refuse = !MayProbe(*state, now);
       if (!refuse)
         state->last_probe = now;
@@ -151,8 +173,11 @@
     refusing->refused[index] = now;
     return reason::kOverloaded;
   }
-  for (service_state* state : chain)
+  for (service_state* state : chain) {
     ++state->passed;
+    if (!admitted)
+      state->passed_at[index] = now;
+  }
   return std::nullopt;
 }
 
--- a/decisions/admission.h
+++ b/decisions/admission.h
@@ -32,13 +32,17 @@
   // Load in permille at which the rate is held: full plus a short queue, which
   // keeps targets busy between two reports.
   static constexpr uint32_t kTargetLoad = 1300;
+  // The same for services deeper in the chain. They often have few slots, and
+  // the work done before them lets arrivals vary more.
+  static constexpr uint32_t kChainTargetLoad = 2000;
   // An admitted call is refused only above this load, because its parent's work
   // is lost with it.
   static constexpr uint32_t kAdmittedLoad = 6000;
   static constexpr duration kMaxAge = std::chrono::seconds(1);
 
   // No new call passes within this time after a more important one was refused
-  // for the same service.
+  // for the same service, and no critical one is refused within this time after
+  // a less important one passed.
   static constexpr duration kClassHold = std::chrono::milliseconds(250);
 
   // Takes a load level of `service` from an answer; 1000 means full, more means
@@ -67,6 +71,8 @@
     // Average of the reports, weighted towards the recent ones.
     double level = 0;
     time_point reported;
+    // True when calls to this service come through another one.
+    bool deep = false;
     // Calls a second; nothing while the service is not limited.
     std::optional<double> allowed;
     // Arrivals and passed calls of the current interval.
@@ -77,14 +83,18 @@
     double passed_rate = 0;
     time_point interval_start;
     time_point last_probe;
-    // When a call of each class was last refused.
+    // When a new call of each class was last refused, and last passed.
     std::array<time_point, kClasses> refused;
+    std::array<time_point, kClasses> passed_at;
   };
 
   static void Adjust(service_state& state, time_point now);
   // Probability that a new call of this class passes.
   static double PassShare(const service_state& state, size_t rank);
   static bool MayProbe(const service_state& state, time_point now);
+  static bool LowerPassed(const service_state& state,
+                          size_t rank,
+                          time_point now);
   static bool HigherRefused(const service_state& state,
                             size_t rank,
                             time_point now);
--- a/decisions/gradient_limit.cc
+++ b/decisions/gradient_limit.cc
@@ -27,6 +27,8 @@
 constexpr duration kColdHold = seconds(3);
 constexpr duration kLongestColdHold = seconds(48);
 constexpr int64_t kColdSuccesses = 10;
+// At least this many, since a target with few cold slots warms no faster.
+constexpr int64_t kLeastColdSuccesses = 100;
 // A failure this soon after the hold ended means that it was too short.
 constexpr duration kGrowthTrial = seconds(10);
 // Under lasting saturation the unloaded latency is measured this often, at this
@@ -171,9 +173,10 @@
   // Ends the stay at the cold capacity when time and successes suffice and the
   // latency is back at the known one or has stopped to improve.
   void StayCold(double mean, time_point now) {
-    const bool known = unloaded_ > 0 && mean <= unloaded_ * 1.3;
+    const bool known = unloaded_ > 0 && mean <= unloaded_ * 1.15;
     if (now - reset_at_ >= hold_ &&
-        successes_ >= kColdSuccesses * options_.cold_capacity &&
+        successes_ >= std::max(kColdSuccesses * options_.cold_capacity,
+                               kLeastColdSuccesses) &&
         (known || (earlier_ > 0 && mean >= earlier_ * 0.9))) {
       cold_ = false;
       hold_ended_ = now;
