Tell a slow spell from a cold target at the first look

Cause: a jump of latency sent the limit to the cold capacity until 100 successes; a service with 15 slots that is 5 times slower needs 8 s for them. Change: when calls at 1.5 times the cold capacity succeeded at the high latency and ten calls at the cold capacity take just as long, the target is slow: the limit returns and the unloaded latency is set anew.

--- a/decisions/gradient_limit.cc
+++ b/decisions/gradient_limit.cc
@@ -22,6 +22,10 @@
 // A latency this far above the unloaded one at a proven concurrency means a
 // cold target or a slow spell, not queueing.
 constexpr double kJump = 2.0;
+// Successes at this multiple of the cold capacity show that a target is not
+// cold; this many calls at the cold capacity then tell a slow spell.
+constexpr double kBornShare = 1.5;
+constexpr int kSpellCalls = 10;
 // Least stay at the cold capacity: time, and successes for each slot. A growth
 // that fails doubles the time, up to the largest.
 constexpr duration kColdHold = seconds(3);
@@ -118,6 +122,7 @@
     errors_ = 0;
     sheds_ = 0;
     earlier_ = 0;
+    spell_latency_ = 0;
     StartWindow(now);
   }
 
@@ -153,7 +158,9 @@
     running_sum_ += sample.running;
     most_running_ = std::max(most_running_, sample.running);
     const double mean = latency_sum_ / count_;
-    if (count_ < std::max(kWindowCalls, Limit()) ||
+    const int least =
+        spell_latency_ > 0 ? kSpellCalls : std::max(kWindowCalls, Limit());
+    if (count_ < least ||
         now - window_start_ < std::max(kWindowTime, FromSeconds(mean)))
       return;
     latency_ = mean;
@@ -171,8 +178,21 @@
   }
 
   // Ends the stay at the cold capacity when time and successes suffice and the
-  // latency is back at the known one or has stopped to improve.
+  // latency is back at the known one or has stopped to improve. Ends it at once
+  // in a slow spell: calls far above the cold capacity succeeded, and as few
+  // calls as now take just as long.
   void StayCold(double mean, time_point now) {
+    if (spell_latency_ > 0) {
+      const bool slow = mean >= spell_latency_ * 0.9;
+      spell_latency_ = 0;
+      if (slow) {
+        cold_ = false;
+        hold_ended_ = now;
+        limit_ = std::max(spell_running_, limit_);
+        Rebase(mean, now);
+        return;
+      }
+    }
     const bool known = unloaded_ > 0 && mean <= unloaded_ * 1.15;
     if (now - reset_at_ >= hold_ &&
         successes_ >= std::max(kColdSuccesses * options_.cold_capacity,
@@ -216,6 +236,10 @@
       Rebase(mean, now);
     if (mean >= unloaded_ * kJump) {
       EnterCold(now);
+      if (running >= options_.cold_capacity * kBornShare) {
+        spell_latency_ = mean;
+        spell_running_ = running;
+      }
       return;
     }
     if (running <= limit_ * kDipShare) {
@@ -281,6 +305,10 @@
   // Last results, one bit each.
   uint32_t errors_ = 0;
   uint32_t sheds_ = 0;
+  // Latency and concurrency at the jump that caused the present stay at the
+  // cold capacity; 0 when there was none or it was checked.
+  double spell_latency_ = 0;
+  double spell_running_ = 0;
   // Where the present cut of the limit began; 0 when there is none.
   double cut_from_ = 0;
   double cut_running_ = 0;
--- a/decisions/target_gate_test.cc
+++ b/decisions/target_gate_test.cc
@@ -61,6 +61,19 @@
   }
 }
 
+// Guards against a slow spell that is treated as a cold start for long: a slow
+// target with few slots ends few calls, and would stay at its cold capacity
+// for most of the spell.
+TEST(concurrency_limit, SlowSpellEndsTheStayAtColdCapacity) {
+  for (const int slots : {15, 120}) {
+    saturated_target run(Target(slots, milliseconds(50)));
+    run.loop.Advance(seconds(20));
+    run.targets.SlowDown(kAddress, 5, seconds(20));
+    run.loop.Advance(seconds(5));
+    CHECK_TRUE(run.gate.limit() >= slots * 0.8);
+  }
+}
+
 // Guards against killing a target that has just started, or that has lost its
 // warm state without a sign: I5.
 TEST(concurrency_limit, NeverAboveColdCapacityWhileCold) {
