--- a/node/node_settings.cc
+++ b/node/node_settings.cc
@@ -1,7 +1,6 @@
 #include "node/node_settings.h"
 
 #include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <set>
@@ -9,6 +8,7 @@
 #include "decisions/config_schema.h"
 #include "kernel/json.h"
 #include "kernel/json_schema.h"
+#include "wire/address.h"
 
 namespace skylarkhoist {
 namespace {
@@ -79,36 +79,10 @@
   return *kCompiled;
 }
 
-// "ip:port" with an IPv4 address, or an IPv6 address in brackets. Names are
-// left out, since resolving them would block the loop.
+// Names are left out, since resolving them would block the loop.
 bool IsAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0)
-    return false;
-  int port = 0;
-  const char* const end = text.data() + text.size();
-  const auto read = std::from_chars(text.data() + colon + 1, end, port);
-  if (read.ec != std::errc() || read.ptr != end || port < 1 || port > 65535)
-    return false;
-  const std::string host = text.substr(0, colon);
-  if (host.front() == '[' && host.back() == ']') {
-    return host.size() > 3 && host.find_first_not_of("0123456789abcdefABCDEF:.",
-                                                     1) == host.size() - 1;
-  }
-  int parts = 0;
-  size_t start = 0;
-  while (start <= host.size()) {
-    const size_t dot = std::min(host.find('.', start), host.size());
-    int part = -1;
-    const auto number =
-        std::from_chars(host.data() + start, host.data() + dot, part);
-    if (number.ec != std::errc() || number.ptr != host.data() + dot ||
-        part < 0 || part > 255)
-      return false;
-    ++parts;
-    start = dot + 1;
-  }
-  return parts == 4;
+  const auto parts = SplitAddress(text);
+  return parts && parts->port != 0;
 }
 
 // Copies settings into their fields and collects what the schema cannot tell.
