Report calls that hit a target before it shows that it is cold

Cause: the cold run counted only calls above the cold capacity after a first slow answer or error, and left out those before it. Change: cold_over_before_sign in each line. Conclusion: a silent turn costs the target that it hits; no limit learned from answers can prevent it.

--- a/testing/overload_model.cc
+++ b/testing/overload_model.cc
@@ -703,15 +703,20 @@
   }
   line["critical_refused_after_browse"] = totals_.critical_after_browse;
   int64_t over = 0;
+  int64_t unseen = 0;
   int64_t crashes = 0;
   json limits;
   for (const auto& node : nodes_) {
     const fake_target_counters& counters = targets_.counters(node->address);
     over += counters.cold_over_after_sign;
+    unseen += counters.cold_over - counters.cold_over_after_sign;
     crashes += counters.crashes;
     limits.push_back(node->gate->limit());
   }
   line["cold_over"] = over;
+  // Calls that reached a target between its silent turn to cold and its first
+  // slow answer or error.
+  line["cold_over_before_sign"] = unseen;
   line["crashes"] = crashes;
   if (full())
     line["limits"] = limits;
