--- a/node/config_follower.cc
+++ b/node/config_follower.cc
@@ -64,18 +64,18 @@
 struct config_follower::counters {
   explicit counters(metrics* metrics)
       : view_findings(
-            metrics->Gauge("skylark_config_findings",
+            metrics->Gauge("skylarkhoist_config_findings",
                            "Findings of the published configuration")),
-        offset(metrics->Gauge("skylark_config_offset",
+        offset(metrics->Gauge("skylarkhoist_config_offset",
                               "Log offset of the configuration in force")),
-        snapshots(metrics->Counter("skylark_config_snapshots_total",
+        snapshots(metrics->Counter("skylarkhoist_config_snapshots_total",
                                    "Snapshots appended by this node")),
-        states(metrics->Counter("skylark_config_peer_states_total",
+        states(metrics->Counter("skylarkhoist_config_peer_states_total",
                                 "Whole states taken over from peers")),
-        bad_states(metrics->Counter("skylark_config_bad_states_total",
+        bad_states(metrics->Counter("skylarkhoist_config_bad_states_total",
                                     "States of peers that cannot be read")),
         log_behind(metrics->Counter(
-            "skylark_config_log_behind_total",
+            "skylarkhoist_config_log_behind_total",
             "Reads that found the log shorter than the state of this node")) {
     for (const auto outcome :
          {apply_outcome::kApplied, apply_outcome::kNoEffect,
@@ -84,18 +84,18 @@
           apply_outcome::kNewerFormat, apply_outcome::kUnknownKind}) {
       const std::string name(NameOf(outcome));
       records[outcome] =
-          &metrics->Counter("skylark_config_records_total",
+          &metrics->Counter("skylarkhoist_config_records_total",
                             "Records of the log by their effect on the state",
                             {{"outcome", name}});
     }
     for (const char* result :
          {"ok", "unreachable", "timeout", "trimmed", "refused"}) {
-      reads[result] = &metrics->Counter("skylark_config_log_reads_total",
+      reads[result] = &metrics->Counter("skylarkhoist_config_log_reads_total",
                                         "Reads of the log by their result",
                                         {{"result", result}});
-      appends[result] = &metrics->Counter("skylark_config_log_appends_total",
-                                          "Appends to the log by their result",
-                                          {{"result", result}});
+      appends[result] = &metrics->Counter(
+          "skylarkhoist_config_log_appends_total",
+          "Appends to the log by their result", {{"result", result}});
     }
   }
 
--- a/testing/measure_rate_limit.cc
+++ b/testing/measure_rate_limit.cc
@@ -134,12 +134,13 @@
     double worst = 0;
     for (const customer_run& customer : customers_)
       worst = std::max(worst, customer.granted->WorstOver());
-    return {{"phase", "all"},
-            {"worst_window_over", worst},
-            {"early_starts", fleet_.CounterSum("skylark_rate_takeovers_total",
-                                               {{"start", "early"}})},
-            {"waited_starts", fleet_.CounterSum("skylark_rate_takeovers_total",
-                                                {{"start", "waited"}})}};
+    return {
+        {"phase", "all"},
+        {"worst_window_over", worst},
+        {"early_starts", fleet_.CounterSum("skylarkhoist_rate_takeovers_total",
+                                           {{"start", "early"}})},
+        {"waited_starts", fleet_.CounterSum("skylarkhoist_rate_takeovers_total",
+                                            {{"start", "waited"}})}};
   }
 
   // Messages and bytes a second since ResetCounts, over the nodes.
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -135,26 +135,26 @@
       settings_(std::move(settings)),
       handler_(std::move(handler)),
       server_(evhttp_new(loop->base())),
-      requests_(counters->Counter("skylark_http_requests_total",
+      requests_(counters->Counter("skylarkhoist_http_requests_total",
                                   "Requests passed to the handler",
                                   {{"listener", settings_.name}})),
-      gone_(counters->Counter("skylark_http_callers_gone_total",
+      gone_(counters->Counter("skylarkhoist_http_callers_gone_total",
                               "Callers that disconnected before the response",
                               {{"listener", settings_.name}})),
-      unanswered_(counters->Counter("skylark_http_unanswered_total",
+      unanswered_(counters->Counter("skylarkhoist_http_unanswered_total",
                                     "Requests that got no response from the "
                                     "handler",
                                     {{"listener", settings_.name}})),
       headers_too_large_(counters->Counter(
-          "skylark_http_refused_total",
+          "skylarkhoist_http_refused_total",
           "Requests refused before the handler",
           {{"listener", settings_.name}, {"reason", "headers_too_large"}})),
       body_too_large_(counters->Counter(
-          "skylark_http_refused_total",
+          "skylarkhoist_http_refused_total",
           "Requests refused before the handler",
           {{"listener", settings_.name}, {"reason", "body_too_large"}})),
       bad_request_(counters->Counter(
-          "skylark_http_refused_total",
+          "skylarkhoist_http_refused_total",
           "Requests refused before the handler",
           {{"listener", settings_.name}, {"reason", "bad_request"}})) {
   evhttp_set_max_headers_size(server_, kHardHeaderBytes);
--- a/wire/http_server_test.cc
+++ b/wire/http_server_test.cc
@@ -53,7 +53,7 @@
 
   double Refused(const char* reason) {
     return counters
-        .Counter("skylark_http_refused_total", "",
+        .Counter("skylarkhoist_http_refused_total", "",
                  {{"listener", "test"}, {"reason", reason}})
         .Value();
   }
--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -128,16 +128,16 @@
       settings_(settings),
       own_metrics_(counters == nullptr ? std::make_unique<metrics>() : nullptr),
       connections_opened_((counters == nullptr ? *own_metrics_ : *counters)
-                              .Counter("skylark_target_connections_total",
+                              .Counter("skylarkhoist_target_connections_total",
                                        "Connections used for calls to targets",
                                        {{"kind", "new"}})),
       connections_reused_((counters == nullptr ? *own_metrics_ : *counters)
-                              .Counter("skylark_target_connections_total",
+                              .Counter("skylarkhoist_target_connections_total",
                                        "Connections used for calls to targets",
                                        {{"kind", "reused"}})) {
   metrics& all = counters == nullptr ? *own_metrics_ : *counters;
   for (const char* label : kResultLabels) {
-    results_.push_back(&all.Counter("skylark_target_calls_total",
+    results_.push_back(&all.Counter("skylarkhoist_target_calls_total",
                                     "Calls to targets by their end",
                                     {{"result", label}}));
   }
