Pass on only changes of state in gossip

Cause: each node raises its version every second to report load and applied offset, and every receiver passed each version on 8 times. With the fleet's size, messages fill up to their 4 KB bound, and since a message is filled in address order, changes of state of late addresses wait behind load reports.

Change: an entry is passed on when state, zone, public address or the targets and their states differ from what is known.

A new link still carries the whole table; that is a separate cost.

--- a/node/membership.cc
+++ b/node/membership.cc
@@ -26,6 +26,27 @@
   return bytes;
 }
 
+// True when `next` says more than the load and the offset that the node
+// reports every second. Only such changes are passed on: load reports of all
+// nodes would fill every message and delay changes of state.
+bool ChangesState(const fbs::member_entryT& last,
+                  const fbs::member_entryT& next) {
+  if (last.state != next.state || last.zone != next.zone ||
+      last.public_address != next.public_address ||
+      last.targets.size() != next.targets.size())
+    return true;
+  for (size_t i = 0; i < next.targets.size(); ++i) {
+    const auto& before = last.targets[i];
+    const auto& after = next.targets[i];
+    if (before == nullptr || after == nullptr)
+      return true;
+    if (before->service != after->service ||
+        before->address != after->address || before->state != after->state)
+      return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 membership::membership(loop* loop,
@@ -198,10 +219,11 @@
     known = member{};
     known.first_seen = now;
   }
+  if (!same_run || ChangesState(known.entry, entry))
+    known.sends_left = kSendsPerChange;
   known.entry = entry;
   known.entry_at = now;
   known.gone = entry.state == fbs::member_state::kGone;
-  known.sends_left = kSendsPerChange;
   std::map<std::string, time_point> since;
   for (const auto& target : entry.targets) {
     if (target == nullptr || target->state != fbs::member_state::kServing)
--- a/node/membership.h
+++ b/node/membership.h
@@ -45,8 +45,9 @@
 
 // What this node knows of the others: which nodes run, in which zone, and the
 // targets beside them. Spreads by gossip: each node speaks for itself with a
-// rising version, and each change is passed on a bounded number of times. The
-// cost of a tick does not depend on the size of the fleet.
+// rising version, and each change of state is passed on a bounded number of
+// times. Load reports reach direct receivers only. The cost of a tick does not
+// depend on the size of the fleet.
 class membership {
  public:
   membership(loop* loop,
