Send heartbeats only on links in use

Cause: gossip picks random peers, so after some minutes every node has a link to every other one, and each link carried 4 heartbeats a second for ever. The cost grew with the fleet.

Change: a link is in use for 1.5 s after a message other than a heartbeat, in either direction. Only then is it judged as silent; heartbeats go on for another silence limit, since the peer may have read the last message that much later. A link out of use stays open, so it costs no new connection and no repeated exchange of member tables; a closed or refused connection is noticed as before. Silence of a link out of use is noticed within 1 s after the next message, not before. The in-memory network can do the same (use_period); it is off by default, so the property tests run with heartbeats on all links.

Conclusion: heartbeats follow the links in use.

--- a/testing/memory_network.cc
+++ b/testing/memory_network.cc
@@ -36,6 +36,8 @@
   peer_info peer;
   std::vector<std::vector<uint8_t>> waiting;
   time_point last_heard;
+  // Last message other than a heartbeat, in either direction.
+  time_point last_used;
   // Arrival of the last message towards this side, which keeps them in order.
   time_point last_arrival;
   uint64_t counter = 0;
@@ -191,6 +193,7 @@
   const link_ref link =
       found != from->links.end() ? found->second : OpenLink(from, to);
   const int side = link->sides[0].address == from->info.address ? 0 : 1;
+  Use(*link, side);
   if (link->sides[side].state == side_state::kUp)
     Transmit(link, side, std::move(data), false);
   else
@@ -285,6 +288,7 @@
   mine.state = side_state::kUp;
   mine.peer = peer;
   mine.last_heard = loop_->Now();
+  mine.last_used = mine.last_heard;
   std::vector<bytes> waiting = std::move(mine.waiting);
   mine.waiting.clear();
   for (bytes& data : waiting)
@@ -373,20 +377,36 @@
       fbs::Getenvelope(data.data())->UnPack());
   if (const auto* beat = decoded->body.Asheartbeat())
     mine.echo = std::max(mine.echo, beat->counter);
+  else
+    Use(*link, to);
   const peer_info peer = mine.peer;
   mine.node->observer->OnPeerMessage(peer, *decoded);
 }
 
+void memory_network::Use(detail::memory_link& link, int side) {
+  detail::memory_side& mine = link.sides[side];
+  const time_point now = loop_->Now();
+  if (options_.use_period != duration::zero() &&
+      now - mine.last_used > options_.use_period)
+    mine.last_heard = now;
+  mine.last_used = now;
+}
+
 void memory_network::Beat(const link_ref& link, int side) {
   detail::memory_side& mine = link->sides[side];
   if (mine.state != side_state::kUp || !mine.node->running)
     return;
   if (!mine.node->paused) {
-    if (loop_->Now() - mine.last_heard > options_.silence_limit) {
+    const bool always = options_.use_period == duration::zero();
+    const duration unused = loop_->Now() - mine.last_used;
+    if ((always || unused <= options_.use_period) &&
+        loop_->Now() - mine.last_heard > options_.silence_limit) {
       SideDown(link, side, link_down_cause::kSilent);
       return;
     }
-    if (mine.node->observer != nullptr) {
+    const bool beats =
+        always || unused <= options_.use_period + options_.silence_limit;
+    if (beats && mine.node->observer != nullptr) {
       fbs::heartbeatT beat = mine.node->observer->MakeHeartbeat();
       beat.counter = ++mine.counter;
       beat.echo = mine.echo;
--- a/wire/tcp_transport.cc
+++ b/wire/tcp_transport.cc
@@ -74,6 +74,8 @@
   peer_info peer;
   bool up = false;
   bool closed = false;
+  // Last message other than a heartbeat, in either direction.
+  time_point last_used;
   // Where this end sends; set when the link is up.
   connection_pointer output;
   std::vector<connection_pointer> connections;
@@ -202,6 +204,7 @@
   }
   evbuffer_add(buffer, frame->header.data(), frame->header.size());
   evbuffer_add(buffer, frame->payload, frame->size);
+  Use(*target);
   frames_sent_.Increment();
 }
 
@@ -359,6 +362,8 @@
   }
   if (const fbs::heartbeatT* heartbeat = message.body.Asheartbeat())
     from->last_counter = heartbeat->counter;
+  else
+    Use(*from->peer_link);
   // The observer may close the link by a Send.
   const link_pointer held = from->peer_link;
   observer_->OnPeerMessage(held->peer, message);
@@ -411,6 +416,7 @@
     from->peer_link = joined;
     joined->connections.push_back(from);
   }
+  Use(*joined);
   if (joined->up)
     return;
   joined->up = true;
@@ -518,6 +524,16 @@
   connections_.erase(closed.get());
 }
 
+void tcp_transport::Use(link& used) {
+  const time_point now = loop_->Now();
+  // No heartbeats came while the link was not in use, which is not silence.
+  if (now - used.last_used > settings_.use_period) {
+    for (const connection_pointer& each : used.connections)
+      each->last_received = now;
+  }
+  used.last_used = now;
+}
+
 void tcp_transport::Beat() {
   FlushReports();
   const time_point now = loop_->Now();
@@ -539,10 +555,15 @@
   for (const connection_pointer& each : current) {
     if (each->closed)
       continue;
+    const duration unused = each->ready && each->peer_link != nullptr
+                                ? now - each->peer_link->last_used
+                                : duration::zero();
+    if (unused > settings_.use_period + settings_.silence_limit)
+      continue;
     const bool silent =
         each->connected ? now - each->last_received > settings_.silence_limit
                         : now - each->opened > settings_.connect_timeout;
-    if (silent && !late) {
+    if (silent && !late && unused <= settings_.use_period) {
       CloseConnection(each, link_down_cause::kSilent);
       continue;
     }
