--- a/wire/tcp_transport_test.cc
+++ b/wire/tcp_transport_test.cc
@@ -299,7 +299,7 @@
     CHECK_TRUE(RunUntil(loop, [&] { return !a.seen.events.empty(); }));
     STRCMP_EQUAL_TEXT(Down(link_down_cause::kIncompatible, 0).c_str(),
                       a.seen.events[0].c_str(), each.reason);
-    CHECK_EQUAL(1.0, a.Count("skylark_peer_hello_refused_total",
+    CHECK_EQUAL(1.0, a.Count("skylarkhoist_peer_hello_refused_total",
                              {{"reason", each.reason}}));
     // The refused peer has got this end's Hello and no message.
     frame_decoder decoder;
@@ -329,20 +329,20 @@
     std::string bytes;
     size_t events;
   } const cases[] = {
-      {"skylark_peer_frame_errors_total",
+      {"skylarkhoist_peer_frame_errors_total",
        {{"error", "checksum"}},
        greeting + damaged,
        2},
-      {"skylark_peer_frame_errors_total",
+      {"skylarkhoist_peer_frame_errors_total",
        {{"error", "bad_magic"}},
        "GET / HTTP/1.1\r\n\r\n",
        0},
-      {"skylark_peer_frame_errors_total", {{"error", "version"}}, old_frame, 0},
-      {"skylark_peer_hello_refused_total",
+      {"skylarkhoist_peer_frame_errors_total", {{"error", "version"}}, old_frame, 0},
+      {"skylarkhoist_peer_hello_refused_total",
        {{"reason", "not_hello"}},
        EncodeFrame(Numbered(1)),
        0},
-      {"skylark_peer_hello_refused_total",
+      {"skylarkhoist_peer_hello_refused_total",
        {{"reason", "second_hello"}},
        greeting + greeting,
        2},
@@ -371,7 +371,7 @@
   CHECK_TRUE(a.seen.events.empty());
   CHECK_TRUE(RunUntil(loop, [&] { return !a.seen.events.empty(); }));
   CHECK_EQUAL(Down(link_down_cause::kClosed, 0), a.seen.events[0]);
-  CHECK_TRUE(a.Count("skylark_peer_send_overflows_total") >= 1.0);
+  CHECK_TRUE(a.Count("skylarkhoist_peer_send_overflows_total") >= 1.0);
 }
 
 // Guards against links that fall because this process was paused: bytes that
@@ -385,7 +385,7 @@
   RunFor(loop, milliseconds(100));
   CHECK_EQUAL(1U, a.seen.events.size());
   CHECK_EQUAL(1U, b.seen.events.size());
-  CHECK_TRUE(a.Count("skylark_peer_late_heartbeats_total") >= 1.0);
+  CHECK_TRUE(a.Count("skylarkhoist_peer_late_heartbeats_total") >= 1.0);
 }
 
 // Guards against a peer of another version that ends the link by a message type
@@ -399,7 +399,7 @@
   socket.Write(EncodeFrame(Envelope(hello)) + EncodeFrame(fbs::envelopeT()) +
                EncodeFrame(Numbered(5)));
   CHECK_TRUE(RunUntil(loop, [&] { return a.seen.messages.size() == 1; }));
-  CHECK_EQUAL(1.0, a.Count("skylark_peer_messages_skipped_total"));
+  CHECK_EQUAL(1.0, a.Count("skylarkhoist_peer_messages_skipped_total"));
 }
 
 // Guards against a dial that fails and takes down the link that the peer made.
