Use the learned limits, queues and routing in the node

Cause: the node passed neither the time of child calls nor its plug-in choices to the decisions, so a slow service behind a target looked like a cold target, and routing ignored calls sent since the last report.

Change: the entry tells the executor about child calls; the gate gets the time spent in them, and failures of services behind a target count as cancelled. Routing gets the own open calls at the time of a load report. Settings choose the routing policy, the limit and the queue order, and set deadline, retry credit, bounds of HTTP and the bootstrap routes. zone_aware is the default policy.

Before: least_loaded and a gate without the time of child calls.

--- a/cli/node_process.cc
+++ b/cli/node_process.cc
@@ -35,10 +35,13 @@
   return result;
 }
 
-http_server_settings ServerSettings(const std::string& address,
+http_server_settings ServerSettings(const node_settings& settings,
+                                    const std::string& address,
                                     const std::string& name) {
   http_server_settings result;
   result.listen_address = address;
+  result.max_header_bytes = settings.max_header_bytes;
+  result.max_body_bytes = settings.max_body_bytes;
   result.name = name;
   return result;
 }
@@ -62,6 +65,10 @@
   result.seeds = settings.seed_peers;
   result.incarnation = incarnation;
   result.routing = settings.routing_policy;
+  result.plugins = {settings.concurrency_limit, settings.queue_order};
+  result.retry_credit = settings.retry_credit;
+  result.default_deadline = settings.default_deadline;
+  result.bootstrap = settings.bootstrap;
   return result;
 }
 
@@ -74,7 +81,7 @@
       log_(&loop_, LogSettings(settings)),
       public_server_(
           &loop_,
-          ServerSettings(settings.public_address, "public"),
+          ServerSettings(settings, settings.public_address, "public"),
           [this](const http_request& request,
                  const std::shared_ptr<http_exchange>& exchange) {
             Serve(request, exchange, false);
@@ -82,7 +89,7 @@
           &metrics_),
       local_server_(
           &loop_,
-          ServerSettings(settings.local_address, "local"),
+          ServerSettings(settings, settings.local_address, "local"),
           [this](const http_request& request,
                  const std::shared_ptr<http_exchange>& exchange) {
             Serve(request, exchange, true);
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -213,8 +213,8 @@
   opened->parent_token = *token;
   opened->lent = parent->credit.LendShare();
   opened->credit = opened->lent;
-  if (child_callback_)
-    child_callback_(parent->parent);
+  if (children_ != nullptr)
+    children_->OnChildStart(parent->parent);
   opened->customer = parent->customer;
   opened->key_id = parent->key_id;
   opened->weight = parent->weight;
@@ -368,6 +368,7 @@
     if (report != loads_.end() && report->second.at + kLoadReportAge > now) {
       candidate.load_permille = report->second.permille;
       candidate.load_at = report->second.at;
+      candidate.open_at_load = report->second.open_calls;
     }
     const auto open = open_by_target_.find(key);
     candidate.open_calls = open == open_by_target_.end() ? 0 : open->second;
@@ -447,8 +448,7 @@
     return;
   }
   if (!answer.loads.empty() && answer.loads.front() != nullptr)
-    loads_[{from.address, opened->service}] = {answer.loads.front()->permille,
-                                               now};
+    NoteLoad(from.address, opened->service, answer.loads.front()->permille);
   opened->credit = std::min<int>(opened->credit, answer.credit_left);
   EndAttempt(opened);
   if (!IsIntact(answer)) {
@@ -470,6 +470,16 @@
   }
 }
 
+void entry::NoteLoad(const std::string& address,
+                     const std::string& service,
+                     uint32_t permille) {
+  const auto key = std::make_pair(address, service);
+  const auto open = open_by_target_.find(key);
+  // The call that brought the report is about to end.
+  const int still_open = open == open_by_target_.end() ? 0 : open->second - 1;
+  loads_[key] = {permille, loop_->Now(), still_open};
+}
+
 void entry::OnRefused(call* opened, reason why, bool local) {
   opened->last_refusal = why;
   if (!local || opened->caller_gone || !MayRetry(opened, why)) {
@@ -538,8 +548,11 @@
 void entry::Finish(call* opened, const http_response& response) {
   EndAttempt(opened);
   loop_->Cancel(opened->deadline_timer);
-  if (call_context* parent = contexts_->Find(opened->parent_token))
+  if (call_context* parent = contexts_->Find(opened->parent_token)) {
     parent->credit.Return(opened->lent, opened->credit);
+    if (children_ != nullptr)
+      children_->OnChildEnd(parent->parent, response.status >= 500);
+  }
   const auto found = calls_.find(opened->number);
   const std::unique_ptr<call> ended = std::move(found->second);
   calls_.erase(found);
--- a/node/entry.h
+++ b/node/entry.h
@@ -33,7 +33,7 @@
 struct entry_options {
   uint64_t incarnation = 0;
   std::string zone;
-  std::string routing = "least_loaded";
+  std::string routing = "zone_aware";
   // Extra executions that one request may cause in its whole chain.
   int retry_credit = 3;
   duration default_deadline = std::chrono::seconds(10);
@@ -45,6 +45,15 @@
   int max_depth = 16;
 };
 
+// Learns when the calls beside their targets make child calls.
+class child_observer {
+ public:
+  virtual ~child_observer() = default;
+  virtual void OnChildStart(const request_id& parent) = 0;
+  // `failed`: the child was refused or its result is unknown.
+  virtual void OnChildEnd(const request_id& parent, bool failed) = 0;
+};
+
 // Identifies a request at its entry, for HandleGone.
 using entry_call_id = uint64_t;
 
@@ -70,10 +79,8 @@
   // Tells whether the configuration is fresh enough for keyed work.
   void SetFreshness(std::function<bool()> fresh) { fresh_ = std::move(fresh); }
 
-  // Called with the parent's id for each child call.
-  void OnChildCall(std::function<void(const request_id&)> callback) {
-    child_callback_ = std::move(callback);
-  }
+  // Told about each child call of a local target.
+  void SetChildObserver(child_observer* observer) { children_ = observer; }
 
   // A request from a caller. `reply` runs exactly once, unless HandleGone comes
   // first.
@@ -144,6 +151,8 @@
   struct load_report {
     uint32_t permille = 0;
     time_point at;
+    // Own calls that were open there when the report arrived.
+    int open_calls = 0;
   };
 
   entry_call_id Open(http_request request, reply_callback reply, call** opened);
@@ -158,6 +167,9 @@
   std::vector<route_candidate> Candidates(const call& opened);
   void SendAttempt(call* opened, const route_candidate& target);
   void EndAttempt(call* opened);
+  void NoteLoad(const std::string& address,
+                const std::string& service,
+                uint32_t permille);
   void OnRefused(call* opened, reason why, bool local);
   bool MayRetry(call* opened, reason why);
   void AskAgain(entry_call_id number);
@@ -180,7 +192,7 @@
   rate_acquire acquire_;
   dedup_service* dedup_ = nullptr;
   std::function<bool()> fresh_;
-  std::function<void(const request_id&)> child_callback_;
+  child_observer* children_ = nullptr;
   admission admission_;
   std::unique_ptr<routing_policy> routing_;
   std::map<std::string, retry_budget> budgets_;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -42,14 +42,6 @@
          result.response.headers.Find("Retry-After") != nullptr;
 }
 
-gate_result GateResultOf(const target_result& result, bool shed) {
-  if (shed)
-    return gate_result::kShed;
-  if (result.error == target_error::kNone && result.response.status < 500)
-    return gate_result::kSuccess;
-  return gate_result::kError;
-}
-
 }  // namespace
 
 executor::executor(loop* loop,
@@ -393,6 +385,21 @@
       [this, id](const target_result& result) { OnResult(id, result); });
 }
 
+// What the end of a run says about the target itself. Failures of the services
+// behind it say nothing.
+gate_result executor::GateResultOf(const execution& ended,
+                                   const target_result& result,
+                                   bool shed) {
+  if (shed)
+    return gate_result::kShed;
+  if (result.error == target_error::kNone && result.response.status < 500)
+    return gate_result::kSuccess;
+  const bool waited_for_child = ended.open_children > 0 || ended.child_failed;
+  if (result.error == target_error::kConnectRefused || waited_for_child)
+    return gate_result::kCancelled;
+  return gate_result::kError;
+}
+
 void executor::OnResult(const request_id& id, const target_result& result) {
   const auto found = executions_.find(id);
   if (found == executions_.end())
@@ -405,11 +412,12 @@
   const auto target = targets_.find(address);
   if (target != targets_.end()) {
     if (!entry.trial)
-      target->second.gate->OnFinished(id, GateResultOf(result, shed),
-                                      loop_->Now());
+      target->second.gate->OnFinished(id, GateResultOf(entry, result, shed),
+                                      loop_->Now(), entry.child_time);
     else
       target->second.exclusive.reset();
-    if (result.error == target_error::kConnectionLost)
+    if (result.error == target_error::kConnectionLost ||
+        result.error == target_error::kConnectRefused)
       target->second.gate->ResetCold(loop_->Now());
     if (result.error == target_error::kConnectRefused)
       MarkDown(address);
@@ -683,10 +691,24 @@
   transport_->Send(from.address, Envelope(std::move(state)));
 }
 
-void executor::NoteChildCall(const request_id& parent) {
+void executor::OnChildStart(const request_id& parent) {
+  const auto found = executions_.find(parent);
+  if (found == executions_.end())
+    return;
+  execution& entry = found->second;
+  entry.made_child_calls = true;
+  if (entry.open_children++ == 0)
+    entry.children_since = loop_->Now();
+}
+
+void executor::OnChildEnd(const request_id& parent, bool failed) {
   const auto found = executions_.find(parent);
-  if (found != executions_.end())
-    found->second.made_child_calls = true;
+  if (found == executions_.end())
+    return;
+  execution& entry = found->second;
+  entry.child_failed = entry.child_failed || failed;
+  if (--entry.open_children == 0)
+    entry.child_time += loop_->Now() - entry.children_since;
 }
 
 void executor::StopAccepting() {
--- a/node/executor.h
+++ b/node/executor.h
@@ -17,6 +17,7 @@
 #include "kernel/loop.h"
 #include "kernel/random.h"
 #include "node/call_types.h"
+#include "node/entry.h"
 #include "wire/peer_transport.h"
 #include "wire/target_client.h"
 
@@ -31,6 +32,7 @@
 
 struct executor_options {
   std::string zone;
+  gate_plugins plugins;
   // A target is out of service when its last announcement is older than this:
   // three missed announcements at one a second.
   duration announcement_limit = std::chrono::seconds(3);
@@ -39,7 +41,7 @@
 // The role beside the targets: queues calls, hands them to the local targets
 // within what each bears, and knows for each call whether it was handed over.
 // Only this role talks to targets.
-class executor {
+class executor : public child_observer {
  public:
   executor(loop* loop,
            peer_transport* transport,
@@ -47,7 +49,7 @@
            random_source* random,
            executor_options options,
            metrics* counters);
-  ~executor();
+  ~executor() override;
   executor(const executor&) = delete;
   executor& operator=(const executor&) = delete;
 
@@ -64,8 +66,8 @@
   void HandleQuery(const peer_info& from, const fbs::call_queryT& query);
   void HandleSuspect(const fbs::suspectT& suspect);
 
-  // Notes that the call behind `token` made a child call.
-  void NoteChildCall(const request_id& parent);
+  void OnChildStart(const request_id& parent) override;
+  void OnChildEnd(const request_id& parent, bool failed) override;
 
   // Refuses new and waiting calls, so that their entries try other nodes.
   void StopAccepting();
@@ -113,7 +115,13 @@
     bool running = false;
     // Runs alone as the trial of a suspect, outside of the gate.
     bool trial = false;
+    // Child calls: whether there were any, how many are open and since when,
+    // and the time in which at least one was.
     bool made_child_calls = false;
+    bool child_failed = false;
+    int open_children = 0;
+    time_point children_since;
+    duration child_time = duration::zero();
     target_call_id target_call = 0;
   };
   using target_map = std::map<std::string, local_target>;
@@ -129,6 +137,9 @@
   void Park(const request_id& id);
   void TryParked();
   bool TryTrial(execution* entry);
+  static gate_result GateResultOf(const execution& ended,
+                                  const target_result& result,
+                                  bool shed);
   void HandOver(local_target* target, execution* entry);
   void OnResult(const request_id& id, const target_result& result);
   void FinishAnswered(execution* entry, const target_result& result);
--- a/node/node.cc
+++ b/node/node.cc
@@ -25,6 +25,7 @@
 executor_options ExecutorOptions(const node_options& options) {
   executor_options result;
   result.zone = options.zone;
+  result.plugins = options.plugins;
   return result;
 }
 
@@ -33,6 +34,8 @@
   result.incarnation = options.incarnation;
   result.zone = options.zone;
   result.routing = options.routing;
+  result.retry_credit = options.retry_credit;
+  result.default_deadline = options.default_deadline;
   return result;
 }
 
@@ -42,6 +45,7 @@
   result.zone = options.zone;
   result.author = options.name;
   result.seed_peers = options.seeds;
+  result.bootstrap = options.bootstrap;
   return result;
 }
 
@@ -159,8 +163,7 @@
     return entry_.DownstreamLoads(service);
   });
   entry_.SetFreshness([this] { return IsConfigFresh(); });
-  entry_.OnChildCall(
-      [this](const request_id& parent) { executor_.NoteChildCall(parent); });
+  entry_.SetChildObserver(&executor_);
 }
 
 node::~node() {
--- a/node/node.h
+++ b/node/node.h
@@ -34,7 +34,12 @@
   std::vector<std::string> seeds;
   // Random for each run of the process.
   uint64_t incarnation = 0;
-  std::string routing = "least_loaded";
+  std::string routing = "zone_aware";
+  gate_plugins plugins;
+  int retry_credit = kDefaultRetryCredit;
+  duration default_deadline = std::chrono::seconds(10);
+  // Open routes and their services, served until there is a configuration.
+  config_view bootstrap;
   // Without the log and without a majority of the roster, keyed work is
   // refused after this time, since a withdrawal of a key may have been missed.
   duration config_staleness = std::chrono::seconds(10);
--- a/node/node_settings.h
+++ b/node/node_settings.h
@@ -35,7 +35,7 @@
   log_format format = log_format::kJson;
 
   // Plug-ins by name.
-  std::string routing_policy = "least_loaded";
+  std::string routing_policy = "zone_aware";
   std::string concurrency_limit = "gradient";
   std::string queue_order = "fair";
   std::string log_client = "http";
