Prove the request path under faults with the real node

Cause: the real node had unit tests and five fleet tests, but no run with faults in which all checkers look at one event history.

Fake targets tell an observer about hand-over and runs; a fleet can drop a caller's connection, give a target several child calls and start a new fleet with its first node alone.

The node passes an empty roster to the dedup service no longer. An empty roster counted as the first version, so that no node of a new fleet was ever alone in its first one, and `new_fleet` had no effect.

--- a/node/entry.cc
+++ b/node/entry.cc
@@ -211,8 +211,12 @@
     return number;
   }
   opened->parent_token = *token;
-  opened->lent = parent->credit.LendShare();
-  opened->credit = opened->lent;
+  if (options_.faults.copy_credit) {
+    opened->credit = parent->credit.available();
+  } else {
+    opened->lent = parent->credit.LendShare();
+    opened->credit = opened->lent;
+  }
   if (child_callback_)
     child_callback_(parent->parent);
   opened->customer = parent->customer;
@@ -248,7 +252,7 @@
   call* opened = FindCall(number);
   if (opened->customer.empty() || !acquire_ ||
       config_->rates.count(opened->customer) == 0) {
-    CheckAdmission(number);
+    OnAdmitted(number);
     return;
   }
   acquire_(opened->customer, opened->deadline, [this, number](reason result) {
@@ -258,10 +262,18 @@
     if (result != reason::kOk)
       FinishError(waiting, result, fbs::ran_state::kNo);
     else
-      CheckAdmission(number);
+      OnAdmitted(number);
   });
 }
 
+void entry::OnAdmitted(entry_call_id number) {
+  if (options_.on_admitted) {
+    const call* opened = FindCall(number);
+    options_.on_admitted(opened->request, opened->customer, opened->credit);
+  }
+  CheckAdmission(number);
+}
+
 // Refuses at once what would fail later in its chain.
 void entry::CheckAdmission(entry_call_id number) {
   call* opened = FindCall(number);
@@ -376,13 +388,18 @@
   return candidates;
 }
 
+uint64_t entry::NextAttemptSequence() {
+  const uint64_t sequence = next_sequence_++;
+  return options_.faults.reuse_sequence ? sequence / 4 : sequence;
+}
+
 void entry::SendAttempt(call* opened, const route_candidate& target) {
   const time_point now = loop_->Now();
   retry_budget& budget = budgets_[opened->service];
   if (opened->tried.empty())
     budget.OnFirstAttempt(now);
   attempt current;
-  current.id = {options_.incarnation, next_sequence_++};
+  current.id = {options_.incarnation, NextAttemptSequence()};
   current.address = target.node_address;
   current.service = opened->service;
   const auto link = links_.find(target.node_address);
@@ -465,6 +482,10 @@
       return;
     case fbs::outcome::kNone:
     case fbs::outcome::kFailed:
+      if (options_.faults.retry_after_hand_over) {
+        OnRefused(opened, ReasonFromWire(answer.reason), true);
+        return;
+      }
       FinishError(opened, ReasonFromWire(answer.reason), answer.ran);
       return;
   }
--- a/node/entry.h
+++ b/node/entry.h
@@ -30,6 +30,17 @@
                                         time_point deadline,
                                         std::function<void(reason)> done)>;
 
+// Deliberate faults, which show that the checkers of testing/checkers.h report
+// them. Only tests switch them on.
+struct entry_test_faults {
+  // Sends a call again whose run ended without an answer.
+  bool retry_after_hand_over = false;
+  // Gives the same id to calls that follow each other.
+  bool reuse_sequence = false;
+  // Gives each child call the whole credit of its parent.
+  bool copy_credit = false;
+};
+
 struct entry_options {
   uint64_t incarnation = 0;
   std::string zone;
@@ -43,6 +54,13 @@
   // Between two questions about an open call whose link failed.
   duration query_interval = std::chrono::milliseconds(250);
   int max_depth = 16;
+  // Called when a request from a caller has its rate token (or needs none),
+  // with the retry credit of its chain.
+  std::function<void(const http_request& request,
+                     const std::string& customer,
+                     int credit)>
+      on_admitted;
+  entry_test_faults faults;
 };
 
 // Identifies a request at its entry, for HandleGone.
@@ -151,7 +169,9 @@
   std::optional<reason> Authenticate(call* opened);
   std::optional<reason> Prepare(call* opened, const route_config& route);
   void AcquireRate(entry_call_id number);
+  void OnAdmitted(entry_call_id number);
   void CheckAdmission(entry_call_id number);
+  uint64_t NextAttemptSequence();
   void ClaimKey(entry_call_id number);
   void OnClaim(entry_call_id number, const dedup_decision& decision);
   void Dispatch(entry_call_id number);
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -423,7 +423,7 @@
   else if (result.error == target_error::kTimeout)
     FinishFailed(id, reason::kDeadlineDuringRun);
   else if (result.error == target_error::kConnectionLost)
-    FinishFailed(id, reason::kTargetLost);
+    FinishLost(id);
   else
     FinishFailed(id, reason::kAnswerDamaged);
   Pump(address);
@@ -578,11 +578,20 @@
   answer.status = static_cast<uint16_t>(result.response.status);
   answer.headers = skylarkhoist::ToWire(result.response.headers);
   answer.body.assign(result.response.body.begin(), result.response.body.end());
+  if (options_.faults.cut_answers)
+    answer.body.resize(answer.body.size() / 2);
   answer.total_length = answer.body.size();
   answer.body_checksum = BodyChecksum(answer.body);
   Finish(entry->id, std::move(answer));
 }
 
+void executor::FinishLost(const request_id& id) {
+  if (options_.faults.refuse_after_run)
+    FinishRefused(id, reason::kTargetLost, false);
+  else
+    FinishFailed(id, reason::kTargetLost);
+}
+
 void executor::FinishRefused(const request_id& id, reason why, bool local) {
   Finish(id, MakeRefusal(id, why, local));
 }
--- a/node/executor.h
+++ b/node/executor.h
@@ -29,11 +29,21 @@
   fbs::member_state state = fbs::member_state::kServing;
 };
 
+// Deliberate faults, which show that the checkers of testing/checkers.h report
+// them. Only tests switch them on.
+struct executor_test_faults {
+  // Reports a call as not run although its target was lost while it ran.
+  bool refuse_after_run = false;
+  // Passes on only the first half of each response.
+  bool cut_answers = false;
+};
+
 struct executor_options {
   std::string zone;
   // A target is out of service when its last announcement is older than this:
   // three missed announcements at one a second.
   duration announcement_limit = std::chrono::seconds(3);
+  executor_test_faults faults;
 };
 
 // The role beside the targets: queues calls, hands them to the local targets
@@ -134,6 +144,7 @@
   void FinishAnswered(execution* entry, const target_result& result);
   void FinishRefused(const request_id& id, reason why, bool local);
   void FinishFailed(const request_id& id, reason why);
+  void FinishLost(const request_id& id);
   // Takes the id by value, since the callers' copy may be part of the execution
   // that ends here.
   void Finish(request_id id, fbs::call_answerT answer);
--- a/node/node.cc
+++ b/node/node.cc
@@ -25,6 +25,7 @@
 executor_options ExecutorOptions(const node_options& options) {
   executor_options result;
   result.zone = options.zone;
+  result.faults = options.executor_faults;
   return result;
 }
 
@@ -33,6 +34,8 @@
   result.incarnation = options.incarnation;
   result.zone = options.zone;
   result.routing = options.routing;
+  result.on_admitted = options.on_admitted;
+  result.faults = options.entry_faults;
   return result;
 }
 
@@ -49,6 +52,7 @@
   dedup_options result;
   result.incarnation = options.incarnation;
   result.address = options.peer_address;
+  result.replica.new_fleet = options.new_fleet;
   return result;
 }
 
@@ -167,7 +171,9 @@
   entry_.SetConfig(config_.view());
   executor_.SetConfig(config_.view());
   members_.SetRoster(config_.roster());
-  dedup_.SetRoster(config_.roster());
+  // Before the first join there are no shard groups to speak of.
+  if (!config_.roster().members.empty())
+    dedup_.SetRoster(config_.roster());
   rates_.SetConfig(config_.view());
   rates_.SetRoster(config_.roster());
   members_.SetAppliedOffset(config_.applied_offset());
--- a/node/node.h
+++ b/node/node.h
@@ -39,6 +39,15 @@
   duration config_staleness = std::chrono::seconds(10);
   // How long a node that stops still takes requests from callers.
   duration drain_grace = std::chrono::seconds(1);
+  // See dedup_replica_options.
+  bool new_fleet = false;
+  // See entry_options.
+  std::function<void(const http_request& request,
+                     const std::string& customer,
+                     int credit)>
+      on_admitted;
+  entry_test_faults entry_faults;
+  executor_test_faults executor_faults;
 };
 
 // The parts that a node gets from its process, or from a test.
--- a/testing/fake_targets.cc
+++ b/testing/fake_targets.cc
@@ -47,6 +47,10 @@
   at.slow_until = loop_.Now() + length;
 }
 
+void fake_targets::Shed(const std::string& address, duration length) {
+  targets_.at(address).shed_until = loop_.Now() + length;
+}
+
 void fake_targets::TurnCold(const std::string& address) {
   BecomeCold(targets_.at(address));
 }
@@ -120,6 +124,11 @@
   return Scaled(options.service_time, factor);
 }
 
+bool fake_targets::Takes(const target& at) const {
+  return at.up && at.running < at.options.connections &&
+         loop_.Now() >= at.shed_until;
+}
+
 target_call_id fake_targets::Call(const std::string& address,
                                   const http_request& request,
                                   duration timeout,
@@ -130,6 +139,9 @@
   added.request = request;
   added.done = std::move(done);
   const auto found = targets_.find(address);
+  if (run_observer_ != nullptr)
+    run_observer_->OnHandedOver(
+        address, request, found != targets_.end() && Takes(found->second));
   if (found == targets_.end() || !found->second.up) {
     target_result refused;
     refused.error = target_error::kConnectRefused;
@@ -146,7 +158,7 @@
     Answer(id, Response(good ? 200 : 503));
     return id;
   }
-  if (at.running >= at.options.connections) {
+  if (!Takes(at)) {
     ++at.counters.shed;
     Answer(id, Response(503));
     return id;
@@ -156,6 +168,10 @@
   at.counters.peak = std::max(at.counters.peak, at.running);
   added.in_target = true;
   added.started = loop_.Now();
+  if (run_observer_ != nullptr) {
+    added.body = "run " + std::to_string(++runs_) + " of " + request.body;
+    run_observer_->OnRunStarted(address, request);
+  }
   added.timeout_timer = loop_.RunAfter(
       timeout, [this, id] { OnTimeout(id, target_error::kTimeout); });
   added.work_timer =
@@ -222,12 +238,16 @@
   if (ended.cancel_child)
     std::exchange(ended.cancel_child, nullptr)();
   loop_.Cancel(ended.work_timer);
-  Answer(id, Response(status));
+  target_result result = Response(status);
+  result.response.body = ended.body;
+  Answer(id, result);
 }
 
 void fake_targets::Release(call& ended, bool succeeded) {
   target& at = *ended.at;
   ended.in_target = false;
+  if (run_observer_ != nullptr)
+    run_observer_->OnRunEnded(ended.address, ended.request, ended.body);
   --at.running;
   const bool useful = succeeded && ended.done;
   if (ended.child_since != time_point())
--- a/testing/fake_targets.h
+++ b/testing/fake_targets.h
@@ -75,6 +75,21 @@
       const http_request& request,
       std::function<void(int status)> done)>;
 
+  // Told about each call: when it is handed over, whether or not the target
+  // takes it, when its run starts, and when the run ends with `body` as the
+  // body of the response (empty when there is none).
+  struct run_observer {
+    virtual ~run_observer() = default;
+    virtual void OnHandedOver(const std::string& address,
+                              const http_request& request,
+                              bool taken) = 0;
+    virtual void OnRunStarted(const std::string& address,
+                              const http_request& request) = 0;
+    virtual void OnRunEnded(const std::string& address,
+                            const http_request& request,
+                            const std::string& body) = 0;
+  };
+
   // Told about the target time of each call when it ends.
   using work_observer = std::function<
       void(const http_request& request, duration work, bool succeeded)>;
@@ -85,9 +100,14 @@
            const fake_target_options& options,
            child_call child = nullptr);
   void Observe(work_observer observer) { observer_ = std::move(observer); }
+  // From now on each response carries the number of its run and the body of its
+  // request, so that no two runs give the same response.
+  void ObserveRuns(run_observer* observer) { run_observer_ = observer; }
 
   // Multiplies the service time of calls that start within `length`.
   void SlowDown(const std::string& address, double factor, duration length);
+  // Sheds all calls that arrive within `length`.
+  void Shed(const std::string& address, duration length);
   // Loses the warm state without a sign.
   void TurnCold(const std::string& address);
   // Breaks all calls; the target is back, and cold, after the restart time.
@@ -119,6 +139,7 @@
     int cold_successes = 0;
     double slow_factor = 1.0;
     time_point slow_until;
+    time_point shed_until;
     int running = 0;
     timer_id restart = 0;
   };
@@ -137,9 +158,13 @@
     timer_id work_timer = 0;
     timer_id timeout_timer = 0;
     bool in_target = false;
+    // Body of the response.
+    std::string body;
   };
 
   void BecomeCold(target& at);
+  // Neither down nor shedding.
+  bool Takes(const target& at) const;
   duration ServiceTime(target& at);
   // Answers without running.
   void Answer(target_call_id id, const target_result& result);
@@ -151,6 +176,8 @@
   loop& loop_;
   mt_random random_;
   work_observer observer_;
+  run_observer* run_observer_ = nullptr;
+  uint64_t runs_ = 0;
   std::map<std::string, target> targets_;
   std::map<target_call_id, call> calls_;
   target_call_id next_id_ = 1;
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -11,15 +11,20 @@
 
 constexpr duration kAnnounceInterval = std::chrono::seconds(1);
 
+// Time in which the first node of a new fleet joins the roster alone.
+constexpr duration kHeadStart = std::chrono::milliseconds(1500);
+
 }  // namespace
 
 fleet::fleet(std::vector<fleet_machine> machines,
              uint64_t seed,
-             memory_network_options network)
+             memory_network_options network,
+             node_options common)
     : random_(seed),
       network_(&loop_, &random_, network),
       log_(&loop_, &random_),
-      targets_(loop_, seed) {
+      targets_(loop_, seed),
+      common_(std::move(common)) {
   for (fleet_machine& spec : machines) {
     const size_t index = machines_.size();
     machine added;
@@ -30,17 +35,29 @@
       const fleet_target& target = machines_[index].spec.targets[i];
       fake_targets::child_call child;
       if (!target.child_path.empty()) {
-        child = [this, index, path = target.child_path](
-                    const std::string&, const http_request& parent,
-                    std::function<void(int)> done) {
-          return CallChild(index, path, parent, std::move(done));
+        child = [this, index, i](const std::string&, const http_request& parent,
+                                 std::function<void(int)> done) {
+          return CallChildren(index, machines_[index].spec.targets[i], parent,
+                              std::move(done));
         };
       }
       targets_.Add(TargetAddress(index, i), target.options, std::move(child));
     }
   }
-  for (size_t i = 0; i < machines_.size(); ++i)
-    StartNode(i);
+  StartNode(0);
+  const auto start_others = [this] {
+    for (size_t i = 1; i < machines_.size(); ++i)
+      StartNode(i);
+  };
+  if (std::exchange(common_.new_fleet, false)) {
+    loop_.RunAfter(kHeadStart,
+                   [start_others, alive = std::weak_ptr<bool>(alive_)] {
+                     if (!alive.expired())
+                       start_others();
+                   });
+  } else {
+    start_others();
+  }
   for (size_t i = 0; i < machines_.size(); ++i)
     AnnounceTargets(i);
 }
@@ -79,7 +96,7 @@
   auto run = std::make_unique<node_run>(&loop_);
   run->random = std::make_unique<mt_random>(random_.Next());
   run->log = log_.Connect();
-  node_options options;
+  node_options options = common_;
   options.name = item.spec.name;
   options.cluster = "test";
   options.zone = item.spec.zone;
@@ -107,6 +124,8 @@
   machine& item = machines_[index];
   if (item.process == nullptr)
     return;
+  if (stop_observer_)
+    stop_observer_(index);
   network_.StopNode(PeerAddress(index));
   auto ended = std::move(item.process);
   auto requests = std::move(ended->requests);
@@ -193,20 +212,24 @@
                                      [](const http_response&) {});
 }
 
-void fleet::Send(size_t index, http_request request, response_callback done) {
+uint64_t fleet::Send(size_t index,
+                     http_request request,
+                     response_callback done) {
   machine& item = machines_[index];
   if (item.process == nullptr) {
     done(std::nullopt);
-    return;
+    return 0;
   }
   node_run* run = item.process.get();
   const uint64_t number = next_request_++;
   run->requests[number] = {0, std::move(done)};
   const entry_call_id id = run->running->HandlePublic(
-      std::move(request), [run, number](const http_response& response) {
+      std::move(request), [this, run, number](const http_response& response) {
         const auto found = run->requests.find(number);
-        if (found == run->requests.end())
+        if (found == run->requests.end()) {
+          ++second_responses_;
           return;
+        }
         const response_callback answer = std::move(found->second.done);
         run->requests.erase(found);
         answer(response);
@@ -214,10 +237,47 @@
   const auto open = run->requests.find(number);
   if (open != run->requests.end())
     open->second.id = id;
+  return number;
+}
+
+void fleet::DropConnection(size_t index, uint64_t number) {
+  machine& item = machines_[index];
+  if (item.process == nullptr)
+    return;
+  const auto open = item.process->requests.find(number);
+  if (open == item.process->requests.end())
+    return;
+  const open_request dropped = std::move(open->second);
+  item.process->requests.erase(open);
+  item.process->running->HandleGone(dropped.id);
+  dropped.done(std::nullopt);
+}
+
+std::function<void()> fleet::CallChildren(size_t index,
+                                          const fleet_target& target,
+                                          const http_request& parent,
+                                          std::function<void(int)> done) {
+  const auto left = std::make_shared<int>(target.child_calls);
+  const auto worst = std::make_shared<int>(0);
+  std::vector<std::function<void()>> cancels;
+  cancels.reserve(static_cast<size_t>(target.child_calls));
+  for (int i = 0; i < target.child_calls; ++i) {
+    cancels.push_back(CallChild(index, target.child_path, i + 1, parent,
+                                [left, worst, done](int status) {
+                                  *worst = std::max(*worst, status);
+                                  if (--*left == 0)
+                                    done(*worst);
+                                }));
+  }
+  return [cancels] {
+    for (const auto& cancel : cancels)
+      cancel();
+  };
 }
 
 std::function<void()> fleet::CallChild(size_t index,
                                        const std::string& path,
+                                       int number_of_child,
                                        const http_request& parent,
                                        std::function<void(int)> done) {
   machine& item = machines_[index];
@@ -230,6 +290,10 @@
   child.path = path;
   if (const std::string* token = parent.headers.Find("Skylark-Context"))
     child.headers.Add("Skylark-Context", *token);
+  if (const std::string* trace = parent.headers.Find(kTraceHeader)) {
+    child.headers.Add(kTraceHeader,
+                      *trace + "/" + std::to_string(number_of_child));
+  }
   child.body = parent.body;
   node_run* run = item.process.get();
   const uint64_t number = next_request_++;
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -24,6 +24,8 @@
   // Path of the child call that each of its calls makes through its own node;
   // empty for none.
   std::string child_path;
+  // Child calls that each call makes at the same time.
+  int child_calls = 1;
 };
 
 struct fleet_machine {
@@ -47,9 +49,12 @@
   using response_callback =
       std::function<void(const std::optional<http_response>&)>;
 
+  // `common` gives the options of all nodes that are not drawn from their
+  // machine. With `new_fleet`, the first node starts ahead of the others.
   fleet(std::vector<fleet_machine> machines,
         uint64_t seed,
-        memory_network_options network = {});
+        memory_network_options network = {},
+        node_options common = {});
   ~fleet();
   fleet(const fleet&) = delete;
   fleet& operator=(const fleet&) = delete;
@@ -59,9 +64,25 @@
 
   void Advance(duration step) { loop_.Advance(step); }
 
+  // Carries a text that a test gives to a request. A child call has that of its
+  // parent, with "/" and its number added.
+  static constexpr char kTraceHeader[] = "X-Trace";
+
   // Sends a request to the public listener of a machine's node. A request to a
   // machine whose node is down gets no response at once.
-  void Send(size_t machine, http_request request, response_callback done);
+  // Returns a number for DropConnection.
+  uint64_t Send(size_t machine, http_request request, response_callback done);
+
+  // The caller of an open request closes its connection.
+  void DropConnection(size_t machine, uint64_t request);
+
+  // Responses that a node gave to a request that already had one.
+  uint64_t second_responses() const { return second_responses_; }
+
+  // Called just before the process of a node ends, in a planned stop or not.
+  void ObserveStops(std::function<void(size_t machine)> observer) {
+    stop_observer_ = std::move(observer);
+  }
 
   // Ends the process of a node; open requests of its callers lose their
   // connection.
@@ -134,8 +155,14 @@
   void Announce(size_t index, size_t target);
   std::function<void()> CallChild(size_t index,
                                   const std::string& path,
+                                  int number_of_child,
                                   const http_request& parent,
                                   std::function<void(int)> done);
+  // All child calls of a parent; the highest status counts.
+  std::function<void()> CallChildren(size_t index,
+                                     const fleet_target& target,
+                                     const http_request& parent,
+                                     std::function<void(int)> done);
   void FailRequests(std::map<uint64_t, open_request> requests);
 
   manual_loop loop_;
@@ -146,7 +173,10 @@
   fake_targets targets_;
   std::vector<machine> machines_;
   uint64_t next_incarnation_ = 1;
+  node_options common_;
+  std::function<void(size_t)> stop_observer_;
   uint64_t next_request_ = 1;
+  uint64_t second_responses_ = 0;
   uint64_t next_record_ = 1;
   std::map<std::string, uint64_t> versions_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
