--- a/node/node.cc
+++ b/node/node.cc
@@ -26,6 +26,7 @@
   executor_options result;
   result.zone = options.zone;
   result.plugins = options.plugins;
+  result.faults = options.executor_faults;
   return result;
 }
 
@@ -36,6 +37,8 @@
   result.routing = options.routing;
   result.retry_credit = options.retry_credit;
   result.default_deadline = options.default_deadline;
+  result.on_admitted = options.on_admitted;
+  result.faults = options.entry_faults;
   return result;
 }
 
@@ -53,6 +56,7 @@
   dedup_options result;
   result.incarnation = options.incarnation;
   result.address = options.peer_address;
+  result.replica.new_fleet = options.new_fleet;
   return result;
 }
 
@@ -183,7 +187,9 @@
   entry_.SetConfig(config_.view());
   executor_.SetConfig(config_.view());
   members_.SetRoster(config_.roster());
-  dedup_.SetRoster(config_.roster());
+  // Before the first join there are no shard groups to speak of.
+  if (!config_.roster().members.empty())
+    dedup_.SetRoster(config_.roster());
   rates_.SetConfig(config_.view());
   rates_.SetRoster(config_.roster());
   members_.SetAppliedOffset(config_.applied_offset());
