Send heartbeats only on links in use

Cause: gossip picks random peers, so after some minutes every node has a link to every other one, and each link carried 4 heartbeats a second for ever. The cost grew with the fleet.

Change: a link is in use for 1.5 s after a message other than a heartbeat, in either direction, and for 30 s after a CallRequest, so that silence is noticed while a call runs. Only then is it judged as silent; heartbeats go on for another silence limit, since the peer may have read the last message that much later. A link out of use stays open, so it costs no new connection and no repeated exchange of member tables; a closed or refused connection is noticed as before. Silence of a link out of use is noticed within 1 s after the next message, not before. The in-memory network can do the same (use_period); it is off by default, so the property tests run with heartbeats on all links.

Conclusion: heartbeats follow the links in use.

--- a/testing/memory_network.cc
+++ b/testing/memory_network.cc
@@ -36,6 +36,8 @@
   peer_info peer;
   std::vector<std::vector<uint8_t>> waiting;
   time_point last_heard;
+  // End of the use that the messages so far gave the link.
+  time_point used_until;
   // Arrival of the last message towards this side, which keeps them in order.
   time_point last_arrival;
   uint64_t counter = 0;
@@ -191,6 +193,7 @@
   const link_ref link =
       found != from->links.end() ? found->second : OpenLink(from, to);
   const int side = link->sides[0].address == from->info.address ? 0 : 1;
+  Use(*link, side, message.body.Ascall_request() != nullptr);
   if (link->sides[side].state == side_state::kUp)
     Transmit(link, side, std::move(data), false);
   else
@@ -285,6 +288,8 @@
   mine.state = side_state::kUp;
   mine.peer = peer;
   mine.last_heard = loop_->Now();
+  mine.used_until =
+      std::max(mine.used_until, mine.last_heard + options_.use_period);
   std::vector<bytes> waiting = std::move(mine.waiting);
   mine.waiting.clear();
   for (bytes& data : waiting)
@@ -373,20 +378,36 @@
       fbs::Getenvelope(data.data())->UnPack());
   if (const auto* beat = decoded->body.Asheartbeat())
     mine.echo = std::max(mine.echo, beat->counter);
+  else
+    Use(*link, to, decoded->body.Ascall_request() != nullptr);
   const peer_info peer = mine.peer;
   mine.node->observer->OnPeerMessage(peer, *decoded);
 }
 
+void memory_network::Use(detail::memory_link& link, int side, bool call) {
+  detail::memory_side& mine = link.sides[side];
+  const time_point now = loop_->Now();
+  if (options_.use_period != duration::zero() && now > mine.used_until)
+    mine.last_heard = now;
+  mine.used_until =
+      std::max(mine.used_until,
+               now + (call ? options_.call_use_period : options_.use_period));
+}
+
 void memory_network::Beat(const link_ref& link, int side) {
   detail::memory_side& mine = link->sides[side];
   if (mine.state != side_state::kUp || !mine.node->running)
     return;
   if (!mine.node->paused) {
-    if (loop_->Now() - mine.last_heard > options_.silence_limit) {
+    const bool always = options_.use_period == duration::zero();
+    if ((always || loop_->Now() <= mine.used_until) &&
+        loop_->Now() - mine.last_heard > options_.silence_limit) {
       SideDown(link, side, link_down_cause::kSilent);
       return;
     }
-    if (mine.node->observer != nullptr) {
+    const bool beats =
+        always || loop_->Now() <= mine.used_until + options_.silence_limit;
+    if (beats && mine.node->observer != nullptr) {
       fbs::heartbeatT beat = mine.node->observer->MakeHeartbeat();
       beat.counter = ++mine.counter;
       beat.echo = mine.echo;
--- a/testing/memory_network.h
+++ b/testing/memory_network.h
@@ -33,6 +33,9 @@
   link_delay delay;
   duration heartbeat_interval = std::chrono::milliseconds(250);
   duration silence_limit = std::chrono::seconds(1);
+  // As in tcp_transport_settings; 0 keeps every open link in use.
+  duration use_period = duration::zero();
+  duration call_use_period = duration::zero();
   // Probabilities for each single message. Hellos are never affected; a Hello
   // that is lost appears as a silent link.
   double loss = 0;
@@ -125,6 +128,8 @@
   void SideDown(const link_ref& link, int side, link_down_cause cause);
   void Transmit(const link_ref& link, int from, bytes data, bool reliable);
   void ArriveMessage(const link_ref& link, int to, const bytes& data);
+  // Starts or extends the use of a link, as seen from one side.
+  void Use(detail::memory_link& link, int side, bool call);
   void Beat(const link_ref& link, int side);
   // Runs `action` after `delay` unless the network was destroyed.
   void After(duration delay, std::function<void()> action);
--- a/wire/tcp_transport.cc
+++ b/wire/tcp_transport.cc
@@ -74,6 +74,8 @@
   peer_info peer;
   bool up = false;
   bool closed = false;
+  // End of the use that the messages so far gave it, in either direction.
+  time_point used_until;
   // Where this end sends; set when the link is up.
   connection_pointer output;
   std::vector<connection_pointer> connections;
@@ -202,6 +204,7 @@
   }
   evbuffer_add(buffer, frame->header.data(), frame->header.size());
   evbuffer_add(buffer, frame->payload, frame->size);
+  Use(*target, message);
   frames_sent_.Increment();
 }
 
@@ -359,6 +362,8 @@
   }
   if (const fbs::heartbeatT* heartbeat = message.body.Asheartbeat())
     from->last_counter = heartbeat->counter;
+  else
+    Use(*from->peer_link, message);
   // The observer may close the link by a Send.
   const link_pointer held = from->peer_link;
   observer_->OnPeerMessage(held->peer, message);
@@ -411,6 +416,8 @@
     from->peer_link = joined;
     joined->connections.push_back(from);
   }
+  joined->used_until =
+      std::max(joined->used_until, loop_->Now() + settings_.use_period);
   if (joined->up)
     return;
   joined->up = true;
@@ -518,6 +525,19 @@
   connections_.erase(closed.get());
 }
 
+void tcp_transport::Use(link& used, const fbs::envelopeT& message) {
+  const time_point now = loop_->Now();
+  // No heartbeats came while the link was not in use, which is not silence.
+  if (now > used.used_until) {
+    for (const connection_pointer& each : used.connections)
+      each->last_received = now;
+  }
+  const bool call = message.body.Ascall_request() != nullptr;
+  used.used_until =
+      std::max(used.used_until,
+               now + (call ? settings_.call_use_period : settings_.use_period));
+}
+
 void tcp_transport::Beat() {
   FlushReports();
   const time_point now = loop_->Now();
@@ -539,10 +559,15 @@
   for (const connection_pointer& each : current) {
     if (each->closed)
       continue;
+    const time_point used_until = each->ready && each->peer_link != nullptr
+                                      ? each->peer_link->used_until
+                                      : now;
+    if (now > used_until + settings_.silence_limit)
+      continue;
     const bool silent =
         each->connected ? now - each->last_received > settings_.silence_limit
                         : now - each->opened > settings_.connect_timeout;
-    if (silent && !late) {
+    if (silent && !late && now <= used_until) {
       CloseConnection(each, link_down_cause::kSilent);
       continue;
     }
--- a/wire/tcp_transport.h
+++ b/wire/tcp_transport.h
@@ -30,8 +30,18 @@
   // address that Listen bound.
   fbs::helloT hello;
   duration heartbeat_interval = std::chrono::milliseconds(250);
-  // A connection without a received byte for this long is closed as silent.
+  // A connection of a link in use without a received byte for this long is
+  // closed as silent.
   duration silence_limit = std::chrono::seconds(1);
+  // A link is in use for this long after a message other than a heartbeat. Only
+  // links in use are judged as silent. Heartbeats go on for the silence limit
+  // after that, since the peer may have read the last message that much later.
+  // Must be above `silence_limit` plus `heartbeat_interval`, or the loss of a
+  // peer after a single message would go unnoticed. Gossip touches 12 random
+  // links a second; a longer time would keep more of them beating.
+  duration use_period = std::chrono::milliseconds(1500);
+  // The same after a CallRequest: silence must be noticed while a call runs.
+  duration call_use_period = std::chrono::seconds(30);
   duration connect_timeout = std::chrono::seconds(1);
   // Bytes that may wait on one link, including those that wait for its
   // connection. Above this bound the link is closed.
@@ -48,6 +58,11 @@
 // order, and the loss of either ends the link. Heartbeats reach the observer
 // as messages; Hello does not.
 //
+// A link that is not in use stays open without heartbeats, so their cost
+// follows the links in use and not the size of the fleet. A closed or refused
+// connection is noticed at once as before; silence is noticed within the
+// silence limit after the next message.
+//
 // OnLinkDown never runs inside Send: a link that Send closes is reported in the
 // next round of the loop.
 class tcp_transport : public peer_transport {
@@ -95,6 +110,8 @@
                  bool deferred);
   void FlushReports();
   void Release(const connection_pointer& closed);
+  // Starts or extends the use of a link.
+  void Use(link& used, const fbs::envelopeT& message);
   void Beat();
 
   event_loop* loop_;
--- a/wire/tcp_transport_test.cc
+++ b/wire/tcp_transport_test.cc
@@ -77,6 +77,8 @@
     settings.heartbeat_interval = milliseconds(20);
     settings.silence_limit = milliseconds(400);
     settings.connect_timeout = milliseconds(400);
+    settings.use_period = milliseconds(600);
+    settings.call_use_period = milliseconds(3000);
     settings.max_send_buffer = max_send_buffer;
     transport = std::make_unique<tcp_transport>(loop, settings, &counters);
     transport->Start(&seen);
@@ -178,6 +180,74 @@
   }
 }
 
+// Guards against heartbeats on every link that was ever opened, whose cost
+// would grow with the fleet, and against a quiet link that is taken for silent
+// or does not carry messages any more.
+TEST(tcp_transport, LinkOutOfUseIsQuietAndStaysOpen) {
+  peer a(&loop, HelloOf("a", 1));
+  peer b(&loop, HelloOf("b", 2));
+  a.transport->Send(b.address(), Envelope(fbs::gossipT{}));
+  CHECK_TRUE(RunUntil(loop, [&] { return b.seen.messages.size() == 1; }));
+  // Use, heartbeats after it, and a margin.
+  RunFor(loop, milliseconds(600 + 2 * 400 + 200));
+  CHECK_TRUE(a.seen.heartbeats > 0);
+  const uint64_t heartbeats = a.seen.heartbeats + b.seen.heartbeats;
+  RunFor(loop, milliseconds(1000));
+  CHECK_EQUAL(heartbeats, a.seen.heartbeats + b.seen.heartbeats);
+
+  b.transport->Send(a.address(), Envelope(fbs::gossipT{}));
+  CHECK_TRUE(RunUntil(loop, [&] { return a.seen.messages.size() == 1; }));
+  RunFor(loop, milliseconds(100));
+  CHECK_TRUE(a.seen.heartbeats + b.seen.heartbeats > heartbeats);
+  CHECK_TRUE(a.seen.events == std::vector<std::string>{"up b 2"});
+  CHECK_TRUE(b.seen.events == std::vector<std::string>{"up a 1"});
+}
+
+// Guards against a peer that went away without a trace while its link was out
+// of use: the next message must lead to a report.
+TEST(tcp_transport, SilenceIsReportedAfterTheNextMessage) {
+  peer a(&loop, HelloOf("a", 1));
+  raw_socket listener = raw_socket::Listener();
+  a.transport->Send(listener.address(), Envelope(fbs::gossipT{}));
+  raw_socket accepted;
+  CHECK_TRUE(RunUntil(loop, [&] {
+    accepted = listener.Accept();
+    return accepted.open();
+  }));
+  fbs::helloT hello = HelloOf("b", 2);
+  hello.peer_address = listener.address();
+  accepted.Write(EncodeFrame(Envelope(hello)));
+  // The peer keeps beating until the link is out of use.
+  const time_point end = loop.Now() + milliseconds(700);
+  while (loop.Now() < end) {
+    accepted.Write(EncodeFrame(Envelope(fbs::heartbeatT{})));
+    RunFor(loop, milliseconds(20));
+  }
+  RunFor(loop, milliseconds(1500));
+  CHECK_EQUAL(1, a.seen.events.size());
+  const time_point sent = loop.Now();
+  a.transport->Send(listener.address(), Envelope(fbs::gossipT{}));
+  CHECK_TRUE(RunUntil(loop, [&] { return a.seen.events.size() == 2; }));
+  CHECK_EQUAL(Down(link_down_cause::kSilent, 2), a.seen.events.back());
+  CHECK_TRUE(loop.Now() - sent >= milliseconds(350));
+}
+
+// Guards against a link that goes quiet while a long call runs, so that the
+// loss of its executor would be noticed at the deadline only.
+TEST(tcp_transport, LinkStaysInUseAfterACall) {
+  peer a(&loop, HelloOf("a", 1));
+  peer b(&loop, HelloOf("b", 2));
+  a.transport->Send(b.address(), Numbered(1));
+  CHECK_TRUE(RunUntil(loop, [&] { return b.seen.messages.size() == 1; }));
+  // A link without calls would be quiet now.
+  RunFor(loop, milliseconds(600 + 400 + 200));
+  const uint64_t at_a = a.seen.heartbeats;
+  const uint64_t at_b = b.seen.heartbeats;
+  RunFor(loop, milliseconds(200));
+  CHECK_TRUE(a.seen.heartbeats > at_a);
+  CHECK_TRUE(b.seen.heartbeats > at_b);
+}
+
 // Guards against messages of one run of a process that reach the next one as
 // if nothing had happened.
 TEST(tcp_transport, NewIncarnationReplacesTheLink) {
