--- a/cli/node_process.h
+++ b/cli/node_process.h
@@ -31,6 +31,10 @@
   // Runs until SIGTERM or SIGINT and the planned stop that follows.
   void Run();
 
+  // For measurements that run the node on a thread of their own, without the
+  // signals of the process.
+  event_loop& run_loop() { return loop_; }
+
  private:
   void Serve(const http_request& request,
              const std::shared_ptr<http_exchange>& exchange,
