--- a/cli/node_process.h
+++ b/cli/node_process.h
@@ -32,6 +32,10 @@
   // exit code: 0, or 75 after an eviction, when the process should start anew.
   int Run();
 
+  // For measurements that run the node on a thread of their own, without the
+  // signals of the process.
+  event_loop& run_loop() { return loop_; }
+
  private:
   void Serve(const http_request& request,
              const std::shared_ptr<http_exchange>& exchange,
--- a/testing/memory_network.h
+++ b/testing/memory_network.h
@@ -35,6 +35,7 @@
   duration silence_limit = std::chrono::seconds(1);
   // As in tcp_transport_settings; 0 keeps every open link in use.
   duration use_period = duration::zero();
+  duration call_use_period = duration::zero();
   // Probabilities for each single message. Hellos are never affected; a Hello
   // that is lost appears as a silent link.
   double loss = 0;
@@ -128,7 +129,7 @@
   void Transmit(const link_ref& link, int from, bytes data, bool reliable);
   void ArriveMessage(const link_ref& link, int to, const bytes& data);
   // Starts or extends the use of a link, as seen from one side.
-  void Use(detail::memory_link& link, int side);
+  void Use(detail::memory_link& link, int side, bool call);
   void Beat(const link_ref& link, int side);
   // Runs `action` after `delay` unless the network was destroyed.
   void After(duration delay, std::function<void()> action);
--- /dev/null
+++ b/testing/property.cc
@@ -0,0 +1,20 @@
+#include "testing/property.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+
+namespace skylarkhoist {
+
+void SetPropertyCount(int histories) {
+  static const bool chosen = std::getenv("RC_PARAMS") != nullptr;
+  if (chosen)
+    return;
+#ifdef __SANITIZE_ADDRESS__
+  histories = std::max(histories / 10, 1);
+#endif
+  const std::string params = "seed=1 max_success=" + std::to_string(histories);
+  setenv("RC_PARAMS", params.c_str(), 1);
+}
+
+}  // namespace skylarkhoist
--- a/testing/test_main.cc
+++ b/testing/test_main.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestRegistry.h>
 
 #include "kernel/log.h"
+#include "testing/property.h"
 
 // Runs the tests without the leak detection of CppUTest: it would report static
 // objects of rapidcheck, and its table refers to blocks of static objects that
@@ -10,6 +11,7 @@
 int main(int argc, char** argv) {
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   skylarkhoist::ConfigureLog(skylarkhoist::log_format::kOff);
+  skylarkhoist::SetPropertyCount(100);
   CommandLineTestRunner runner(argc, argv, TestRegistry::getCurrentRegistry());
   return runner.runAllTestsMain();
 }
--- a/wire/tcp_transport.cc
+++ b/wire/tcp_transport.cc
@@ -74,8 +74,8 @@
   peer_info peer;
   bool up = false;
   bool closed = false;
-  // Last message other than a heartbeat, in either direction.
-  time_point last_used;
+  // End of the use that the messages so far gave it, in either direction.
+  time_point used_until;
   // Where this end sends; set when the link is up.
   connection_pointer output;
   std::vector<connection_pointer> connections;
@@ -95,35 +95,31 @@
       settings_(std::move(settings)),
       frames_sent_(counters->Counter("skylarkhoist_peer_frames_sent_total",
                                      "Frames queued for peers")),
-      frames_received_(
-          counters->Counter("skylarkhoist_peer_frames_received_total",
-                            "Valid frames from peers")),
+      frames_received_(counters->Counter("skylarkhoist_peer_frames_received_total",
+                                         "Valid frames from peers")),
       skipped_messages_(
           counters->Counter("skylarkhoist_peer_messages_skipped_total",
                             "Messages of a type unknown to this version")),
-      oversized_sends_(
-          counters->Counter("skylarkhoist_peer_oversized_sends_total",
-                            "Messages above the frame limit")),
-      send_overflows_(
-          counters->Counter("skylarkhoist_peer_send_overflows_total",
-                            "Links closed at the send bound")),
+      oversized_sends_(counters->Counter("skylarkhoist_peer_oversized_sends_total",
+                                         "Messages above the frame limit")),
+      send_overflows_(counters->Counter("skylarkhoist_peer_send_overflows_total",
+                                        "Links closed at the send bound")),
       late_beats_(
           counters->Counter("skylarkhoist_peer_late_heartbeats_total",
                             "Heartbeat timers that ran more than one interval "
                             "late; silence is not judged then")),
-      open_links_(
-          counters->Gauge("skylarkhoist_peer_links", "Links that are up")) {
+      open_links_(counters->Gauge("skylarkhoist_peer_links", "Links that are up")) {
   for (size_t index = 0; index < static_cast<size_t>(frame_error::kCount);
        ++index) {
     const auto label = skylarkhoist::LabelOf(static_cast<frame_error>(index));
     frame_errors_.push_back(&counters->Counter(
-        "skylarkhoist_peer_frame_errors_total",
-        "Frames that closed a connection", {{"error", std::string(label)}}));
+        "skylarkhoist_peer_frame_errors_total", "Frames that closed a connection",
+        {{"error", std::string(label)}}));
   }
   for (const std::string_view cause : kDownCauses) {
-    links_down_.push_back(&counters->Counter(
-        "skylarkhoist_peer_links_down_total", "Links that went down",
-        {{"cause", std::string(cause)}}));
+    links_down_.push_back(&counters->Counter("skylarkhoist_peer_links_down_total",
+                                             "Links that went down",
+                                             {{"cause", std::string(cause)}}));
   }
   for (const std::string_view reason : kHelloFaults) {
     hello_refused_[std::string(reason)] = &counters->Counter(
@@ -208,7 +204,7 @@
   }
   evbuffer_add(buffer, frame->header.data(), frame->header.size());
   evbuffer_add(buffer, frame->payload, frame->size);
-  Use(*target);
+  Use(*target, message);
   frames_sent_.Increment();
 }
 
@@ -367,7 +363,7 @@
   if (const fbs::heartbeatT* heartbeat = message.body.Asheartbeat())
     from->last_counter = heartbeat->counter;
   else
-    Use(*from->peer_link);
+    Use(*from->peer_link, message);
   // The observer may close the link by a Send.
   const link_pointer held = from->peer_link;
   observer_->OnPeerMessage(held->peer, message);
@@ -420,7 +416,8 @@
     from->peer_link = joined;
     joined->connections.push_back(from);
   }
-  Use(*joined);
+  joined->used_until =
+      std::max(joined->used_until, loop_->Now() + settings_.use_period);
   if (joined->up)
     return;
   joined->up = true;
@@ -528,14 +525,17 @@
   connections_.erase(closed.get());
 }
 
-void tcp_transport::Use(link& used) {
+void tcp_transport::Use(link& used, const fbs::envelopeT& message) {
   const time_point now = loop_->Now();
   // No heartbeats came while the link was not in use, which is not silence.
-  if (now - used.last_used > settings_.use_period) {
+  if (now > used.used_until) {
     for (const connection_pointer& each : used.connections)
       each->last_received = now;
   }
-  used.last_used = now;
+  const bool call = message.body.Ascall_request() != nullptr;
+  used.used_until =
+      std::max(used.used_until,
+               now + (call ? settings_.call_use_period : settings_.use_period));
 }
 
 void tcp_transport::Beat() {
@@ -559,15 +559,15 @@
   for (const connection_pointer& each : current) {
     if (each->closed)
       continue;
-    const duration unused = each->ready && each->peer_link != nullptr
-                                ? now - each->peer_link->last_used
-                                : duration::zero();
-    if (unused > settings_.use_period + settings_.silence_limit)
+    const time_point used_until = each->ready && each->peer_link != nullptr
+                                      ? each->peer_link->used_until
+                                      : now;
+    if (now > used_until + settings_.silence_limit)
       continue;
     const bool silent =
         each->connected ? now - each->last_received > settings_.silence_limit
                         : now - each->opened > settings_.connect_timeout;
-    if (silent && !late && unused <= settings_.use_period) {
+    if (silent && !late && now <= used_until) {
       CloseConnection(each, link_down_cause::kSilent);
       continue;
     }
--- a/wire/tcp_transport.h
+++ b/wire/tcp_transport.h
@@ -40,6 +40,8 @@
   // peer after a single message would go unnoticed. Gossip touches 12 random
   // links a second; a longer time would keep more of them beating.
   duration use_period = std::chrono::milliseconds(1500);
+  // The same after a CallRequest: silence must be noticed while a call runs.
+  duration call_use_period = std::chrono::seconds(30);
   duration connect_timeout = std::chrono::seconds(1);
   // Bytes that may wait on one link, including those that wait for its
   // connection. Above this bound the link is closed.
@@ -109,7 +111,7 @@
   void FlushReports();
   void Release(const connection_pointer& closed);
   // Starts or extends the use of a link.
-  void Use(link& used);
+  void Use(link& used, const fbs::envelopeT& message);
   void Beat();
 
   event_loop* loop_;
