Tell suspects also to nodes whose target is down

Cause: news of a suspect or a quarantine went only to nodes with a target in service. A node whose target had just been taken down by the request missed the quarantine and ran the request again once its target was back.

Change: the news goes to all nodes beside the service, whatever the state of their targets. When a target comes into service, the other nodes also send its node what they know of suspects, which covers restarted nodes.

--- a/node/executor.cc
+++ b/node/executor.cc
@@ -465,6 +465,15 @@
     TryParked();
 }
 
+std::vector<fbs::suspectT> executor::SuspectsOf(const std::string& service) {
+  std::vector<fbs::suspectT> suspects;
+  for (const suspect_notice& notice : suspects_.Snapshot(loop_->Now())) {
+    if (notice.service == service)
+      suspects.push_back(ToWire(notice));
+  }
+  return suspects;
+}
+
 void executor::Park(const request_id& id) {
   parked_.push_back(id);
   if (parked_timer_ == 0)
--- a/node/executor.h
+++ b/node/executor.h
@@ -74,6 +74,9 @@
   void HandleQuery(const peer_info& from, const fbs::call_queryT& query);
   void HandleSuspect(const fbs::suspectT& suspect);
 
+  // Suspects and quarantines of a service, for a node that may not know them.
+  std::vector<fbs::suspectT> SuspectsOf(const std::string& service);
+
   // Notes that the call behind `token` made a child call.
   void NoteChildCall(const request_id& parent);
 
--- a/node/membership.cc
+++ b/node/membership.cc
@@ -203,14 +203,21 @@
   known.gone = entry.state == fbs::member_state::kGone;
   known.sends_left = kSendsPerChange;
   std::map<std::string, time_point> since;
+  std::set<std::string> returned;
   for (const auto& target : entry.targets) {
     if (target == nullptr || target->state != fbs::member_state::kServing)
       continue;
     const std::string key = target->service + " " + target->address;
     const auto previous = known.target_since.find(key);
     since[key] = previous == known.target_since.end() ? now : previous->second;
+    if (previous == known.target_since.end())
+      returned.insert(target->service);
   }
   known.target_since = std::move(since);
+  for (const std::string& service : returned) {
+    if (target_callback_)
+      target_callback_(entry.peer_address, service);
+  }
   if (peer_offset_callback_)
     peer_offset_callback_(entry.peer_address, entry.applied_offset);
 }
@@ -292,6 +299,20 @@
   return targets;
 }
 
+std::vector<std::string> membership::NodesBeside(
+    const std::string& service) const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, known] : members_) {
+    const auto& targets = known.entry.targets;
+    if (!known.gone &&
+        std::any_of(targets.begin(), targets.end(), [&](const auto& target) {
+          return target != nullptr && target->service == service;
+        }))
+      addresses.push_back(address);
+  }
+  return addresses;
+}
+
 std::vector<std::string> membership::LivePeers() const {
   std::vector<std::string> peers;
   for (const auto& [address, known] : members_) {
--- a/node/membership.h
+++ b/node/membership.h
@@ -76,6 +76,9 @@
 
   // Targets of `service` that are in service by their own word.
   std::vector<member_target> TargetsOf(const std::string& service) const;
+  // Peer addresses of the nodes beside a target of `service`, in service or
+  // not, without this one.
+  std::vector<std::string> NodesBeside(const std::string& service) const;
   // Peer addresses of the nodes that seem to run, without this one.
   std::vector<std::string> LivePeers() const;
   // Nodes in `zone` that callers may be sent to.
@@ -95,6 +98,13 @@
     peer_offset_callback_ = std::move(callback);
   }
 
+  // Called with the peer address and the service of a target that came into
+  // service, for the first time or again.
+  void OnTargetInService(
+      std::function<void(const std::string&, const std::string&)> callback) {
+    target_callback_ = std::move(callback);
+  }
+
  private:
   struct member {
     fbs::member_entryT entry;
@@ -129,6 +139,7 @@
   roster_view roster_;
   std::deque<probe> probes_;
   std::function<void(const std::string&, uint64_t)> peer_offset_callback_;
+  std::function<void(const std::string&, const std::string&)> target_callback_;
   timer_id timer_ = 0;
 };
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -1,7 +1,6 @@
 #include "node/node.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "kernel/log.h"
@@ -143,6 +142,13 @@
   members_.OnPeerOffset([this](const std::string& address, uint64_t offset) {
     config_.NotePeerOffset(address, offset);
   });
+  // A node that was started again, or whose target was away, may have missed
+  // what the others know of suspects.
+  members_.OnTargetInService(
+      [this](const std::string& address, const std::string& service) {
+        for (fbs::suspectT& suspect : executor_.SuspectsOf(service))
+          transport_.Send(address, Envelope(std::move(suspect)));
+      });
   executor_.OnTargetsChanged(
       [this] { members_.SetTargets(executor_.DescribeTargets()); });
   executor_.OnSuspect(
@@ -365,13 +371,9 @@
 }
 
 // A suspect must be known beside every target of its service before its caller
-// can send it again.
+// can send it again; also beside those that are down, since they come back.
 void node::SendToServicePeers(const fbs::suspectT& suspect) {
-  std::set<std::string> addresses;
-  for (const member_target& target : members_.TargetsOf(suspect.service))
-    addresses.insert(target.peer_address);
-  addresses.erase(options_.peer_address);
-  for (const std::string& address : addresses)
+  for (const std::string& address : members_.NodesBeside(suspect.service))
     transport_.Send(address, Envelope(fbs::suspectT(suspect)));
 }
 
--- a/node/node_test.cc
+++ b/node/node_test.cc
@@ -140,5 +140,24 @@
   CHECK_FALSE(cluster.IsUp(2));
 }
 
+// Guards against quarantine news that miss a node whose target was down at that
+// time: the crashing request took that target down once more.
+TEST(node, CrashingRequestTakesDownTwoTargetsAtMost) {
+  fleet cluster(SmallDeployment(6), 1);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(kFormation);
+  const http_request request = MakeRequest("GET", "/calendar", KeyOf(0),
+                                           fake_target_options().crash_mark);
+  for (size_t i = 0; i < 30; ++i) {
+    cluster.Send(i % cluster.size(), request,
+                 [](const std::optional<http_response>&) {});
+    cluster.Advance(milliseconds(300));
+  }
+  int64_t crashes = 0;
+  for (size_t i = 1; i < cluster.size(); i += 2)
+    crashes += cluster.targets().counters(cluster.TargetAddress(i, 0)).crashes;
+  CHECK_EQUAL(2, crashes);
+}
+
 }  // namespace
 }  // namespace skylarkhoist
