Sharpen the test of crashing requests

Cause: the test passed without the fix of suspect news, because the routing left the returned target idle.

Change: the test sends other load as well.

Conclusion: the test guards the fix now.

--- a/node/node_test.cc
+++ b/node/node_test.cc
@@ -148,10 +148,14 @@
   cluster.Advance(kFormation);
   const http_request request = MakeRequest("GET", "/calendar", KeyOf(0),
                                            fake_target_options().crash_mark);
-  for (size_t i = 0; i < 30; ++i) {
-    cluster.Send(i % cluster.size(), request,
-                 [](const std::optional<http_response>&) {});
-    cluster.Advance(milliseconds(300));
+  const auto ignore = [](const std::optional<http_response>&) {};
+  // Other load lets the routing prefer targets that have just come back.
+  for (size_t i = 0; i < 1000; ++i) {
+    if (i % 20 == 0)
+      cluster.Send(i / 20 % cluster.size(), request, ignore);
+    cluster.Send(i % cluster.size(), MakeRequest("GET", "/calendar", KeyOf(0)),
+                 ignore);
+    cluster.Advance(milliseconds(10));
   }
   int64_t crashes = 0;
   for (size_t i = 1; i < cluster.size(); i += 2)
