--- a/node/executor.h
+++ b/node/executor.h
@@ -76,6 +76,9 @@
   void HandleQuery(const peer_info& from, const fbs::call_queryT& query);
   void HandleSuspect(const fbs::suspectT& suspect);
 
+  // Suspects and quarantines of a service, for a node that may not know them.
+  std::vector<fbs::suspectT> SuspectsOf(const std::string& service);
+
   void OnChildStart(const request_id& parent) override;
   void OnChildEnd(const request_id& parent, bool failed) override;
 
--- a/node/node_test.cc
+++ b/node/node_test.cc
@@ -140,5 +140,28 @@
   CHECK_FALSE(cluster.IsUp(2));
 }
 
+// Guards against quarantine news that miss a node whose target was down at that
+// time: the crashing request took that target down once more.
+TEST(node, CrashingRequestTakesDownTwoTargetsAtMost) {
+  fleet cluster(SmallDeployment(6), 1);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(kFormation);
+  const http_request request = MakeRequest("GET", "/calendar", KeyOf(0),
+                                           fake_target_options().crash_mark);
+  const auto ignore = [](const std::optional<http_response>&) {};
+  // Other load lets the routing prefer targets that have just come back.
+  for (size_t i = 0; i < 1000; ++i) {
+    if (i % 20 == 0)
+      cluster.Send(i / 20 % cluster.size(), request, ignore);
+    cluster.Send(i % cluster.size(), MakeRequest("GET", "/calendar", KeyOf(0)),
+                 ignore);
+    cluster.Advance(milliseconds(10));
+  }
+  int64_t crashes = 0;
+  for (size_t i = 1; i < cluster.size(); i += 2)
+    crashes += cluster.targets().counters(cluster.TargetAddress(i, 0)).crashes;
+  CHECK_EQUAL(2, crashes);
+}
+
 }  // namespace
 }  // namespace skylarkhoist
