--- a/testing/property.cc
+++ b/testing/property.cc
@@ -11,7 +11,7 @@
   if (chosen)
     return;
 #ifdef __SANITIZE_ADDRESS__
-  histories = std::max(histories / 10, 1);
+  histories = std::max(histories / 4, 1);
 #endif
   const std::string params = "seed=1 max_success=" + std::to_string(histories);
   setenv("RC_PARAMS", params.c_str(), 1);
--- a/wire/tcp_transport.cc
+++ b/wire/tcp_transport.cc
@@ -95,31 +95,35 @@
       settings_(std::move(settings)),
       frames_sent_(counters->Counter("skylarkhoist_peer_frames_sent_total",
                                      "Frames queued for peers")),
-      frames_received_(counters->Counter("skylarkhoist_peer_frames_received_total",
-                                         "Valid frames from peers")),
+      frames_received_(
+          counters->Counter("skylarkhoist_peer_frames_received_total",
+                            "Valid frames from peers")),
       skipped_messages_(
           counters->Counter("skylarkhoist_peer_messages_skipped_total",
                             "Messages of a type unknown to this version")),
-      oversized_sends_(counters->Counter("skylarkhoist_peer_oversized_sends_total",
-                                         "Messages above the frame limit")),
-      send_overflows_(counters->Counter("skylarkhoist_peer_send_overflows_total",
-                                        "Links closed at the send bound")),
+      oversized_sends_(
+          counters->Counter("skylarkhoist_peer_oversized_sends_total",
+                            "Messages above the frame limit")),
+      send_overflows_(
+          counters->Counter("skylarkhoist_peer_send_overflows_total",
+                            "Links closed at the send bound")),
       late_beats_(
           counters->Counter("skylarkhoist_peer_late_heartbeats_total",
                             "Heartbeat timers that ran more than one interval "
                             "late; silence is not judged then")),
-      open_links_(counters->Gauge("skylarkhoist_peer_links", "Links that are up")) {
+      open_links_(
+          counters->Gauge("skylarkhoist_peer_links", "Links that are up")) {
   for (size_t index = 0; index < static_cast<size_t>(frame_error::kCount);
        ++index) {
     const auto label = skylarkhoist::LabelOf(static_cast<frame_error>(index));
     frame_errors_.push_back(&counters->Counter(
-        "skylarkhoist_peer_frame_errors_total", "Frames that closed a connection",
-        {{"error", std::string(label)}}));
+        "skylarkhoist_peer_frame_errors_total",
+        "Frames that closed a connection", {{"error", std::string(label)}}));
   }
   for (const std::string_view cause : kDownCauses) {
-    links_down_.push_back(&counters->Counter("skylarkhoist_peer_links_down_total",
-                                             "Links that went down",
-                                             {{"cause", std::string(cause)}}));
+    links_down_.push_back(&counters->Counter(
+        "skylarkhoist_peer_links_down_total", "Links that went down",
+        {{"cause", std::string(cause)}}));
   }
   for (const std::string_view reason : kHelloFaults) {
     hello_refused_[std::string(reason)] = &counters->Counter(
