--- a/testing/measure_slopes.cc
+++ b/testing/measure_slopes.cc
@@ -281,7 +281,7 @@
   load.Advance(seconds(3));
   load.ResetCounts();
   const duration length = Scaled(10, scale);
-  const control_cost cost =
+  control_cost cost =
       CountWhile(&cluster, length, [&] { load.Advance(length); });
   *outcomes = load.outcomes();
   (*outcomes)["sent"] = load.sent();
@@ -398,10 +398,11 @@
 
   static json Line(const char* name,
                    const std::vector<int>& values,
-                   series all) {
+                   const series& all) {
     const std::vector<double> x(values.begin(), values.end());
     json line{{"measurement", "slopes"}, {"against", name}, {"sizes", values}};
-    for (auto& [what, measured] : all) {
+    for (const auto& [what, values_of] : all) {
+      std::vector<double> measured = values_of;
       measured.resize(x.size());
       line[what] = measured;
       line[what + "_slope"] = Slope(x, measured);
@@ -424,7 +425,7 @@
       all["heap_kib"].push_back(cost.heap_kib);
       all["change_ms"].push_back(cost.change_ms);
     }
-    return Line(name, values, std::move(all));
+    return Line(name, values, all);
   }
 
   // Requests of the whole fleet of 12 nodes; the figures are those of one node.
@@ -441,7 +442,7 @@
           i, &all);
       outcomes.push_back(counts);
     }
-    json line = Line(name, values, std::move(all));
+    json line = Line(name, values, all);
     line["outcomes"] = outcomes;
     return line;
   }
@@ -456,7 +457,7 @@
       all["core_us_per_frame"].push_back(cost.core_percent / 100 * 1e6 /
                                          (2 * cost.frames_per_second));
     }
-    return Line("links", values, std::move(all));
+    return Line("links", values, all);
   }
 };
 
