Check the age of an announcement at each use

Cause: a target said that it leaves while its node was paused for more than 3 s.

Change: a target whose announcement is older than the limit is not in service, whether or not the timer has run.

Conclusion: calls that arrive after a pause go to other targets until the target has announced itself again.

--- a/node/executor.cc
+++ b/node/executor.cc
@@ -144,7 +144,11 @@
 }
 
 bool executor::InService(const local_target& target) const {
-  if (target.down || target.announced.state != fbs::member_state::kServing)
+  // The age counts at each use: after a pause of the process, calls arrive
+  // before the timer that looks for silent targets, and what the target last
+  // said may be out of date.
+  if (target.down || target.announced.state != fbs::member_state::kServing ||
+      target.announced_at + options_.announcement_limit < loop_->Now())
     return false;
   const auto service = config_->services.find(target.announced.service);
   return service == config_->services.end() ||
