Watch each member from three others and send whole tables less often

Cause: eviction relied on any sign of life within 30 s. Random gossip reaches a given member of a large fleet only every few minutes, so live members would have been evicted. Each new link brought the whole member table, by computation 472 MB for a node that starts among 1,300.

Change: three monitors per member by rendezvous hashing, which probe it after 5 s of silence; above 64 members only a node that knows nobody gets a whole table.

The bytes at 1,300 nodes were not measured again.

Conclusion: the cost of failure detection no longer grows with the fleet.

--- a/node/membership.cc
+++ b/node/membership.cc
@@ -196,7 +196,9 @@
     if (entry != nullptr && !entry->peer_address.empty())
       Apply(*entry);
   }
-  if (!knew_sender)
+  // A node that has just started speaks of itself alone.
+  const bool sender_knows_nobody = gossip.entries.size() <= 1;
+  if (!knew_sender && sender_knows_nobody)
     SendTo(from.address, true);
 }
 
@@ -267,7 +269,7 @@
     known.unreachable = false;
     known.last_contact = loop_->Now();
   }
-  SendTo(peer.address, true);
+  SendTo(peer.address, members_.size() <= options_.max_table_on_link);
 }
 
 void membership::OnLinkDown(const peer_info& peer, link_down_cause cause) {
--- a/node/membership.h
+++ b/node/membership.h
@@ -26,6 +26,10 @@
   // Peers that get each gossip message.
   int fanout = 3;
   size_t max_message_bytes = 4096;
+  // Up to this many members, each new link brings the whole table; above it,
+  // only a node that knows nobody gets one. A table of 64 members is about
+  // 18 KB.
+  size_t max_table_on_link = 64;
   // How far back contacts count for HearsMajority.
   duration contact_window = std::chrono::seconds(10);
 };
@@ -93,6 +97,9 @@
   // sample.
   bool HearsMajority() const;
 
+  // Sends gossip to a member out of turn; a live one answers on the link.
+  void Probe(const std::string& address) { SendTo(address, false); }
+
   // Last sign of life of a roster member, from itself or by gossip; the epoch
   // when there was none.
   time_point LastHeard(const roster_member& member) const;
--- a/node/node.cc
+++ b/node/node.cc
@@ -18,6 +18,7 @@
   result.public_address = options.public_address;
   result.incarnation = options.incarnation;
   result.seeds = options.seeds;
+  result.gossip_interval = options.gossip_interval;
   return result;
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -36,6 +36,7 @@
   uint64_t incarnation = 0;
   std::string routing = "zone_aware";
   gate_plugins plugins;
+  duration gossip_interval = std::chrono::milliseconds(500);
   int retry_credit = kDefaultRetryCredit;
   duration default_deadline = std::chrono::seconds(10);
   // Open routes and their services, served until there is a configuration.
--- a/node/roster_keeper.cc
+++ b/node/roster_keeper.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "kernel/log.h"
@@ -10,6 +11,9 @@
 namespace skylarkhoist {
 namespace {
 
+// Monitors of each member.
+constexpr size_t kMonitors = 3;
+
 uint64_t Rank(uint64_t silent, uint64_t candidate) {
   return XXH64(&candidate, sizeof(candidate), silent);
 }
@@ -18,7 +22,7 @@
 
 roster_keeper::roster_keeper(loop* loop,
                              config_follower* config,
-                             const membership* members,
+                             membership* members,
                              roster_keeper_options options,
                              metrics* counters)
     : loop_(loop),
@@ -33,7 +37,6 @@
 }
 
 void roster_keeper::Start() {
-  started_at_ = loop_->Now();
   Tick();
 }
 
@@ -66,37 +69,56 @@
                       [this](const append_result&) { joining_ = false; });
 }
 
+// Finds the members that this node monitors, once for each roster version.
+void roster_keeper::UpdateMonitored() {
+  const roster_view& roster = config_->roster();
+  if (roster.version == monitored_version_)
+    return;
+  monitored_version_ = roster.version;
+  std::map<uint64_t, time_point> since;
+  for (const monitored_member& item : monitored_)
+    since[item.member.incarnation] = item.since;
+  monitored_.clear();
+  for (const roster_member& member : roster.members) {
+    if (member.incarnation == options_.self.incarnation)
+      continue;
+    const uint64_t own = Rank(member.incarnation, options_.self.incarnation);
+    size_t position = 0;
+    for (const roster_member& other : roster.members) {
+      if (other.incarnation != member.incarnation &&
+          Rank(member.incarnation, other.incarnation) > own)
+        ++position;
+      if (position == kMonitors)
+        break;
+    }
+    if (position == kMonitors)
+      continue;
+    const auto before = since.find(member.incarnation);
+    monitored_.push_back(
+        {member, position,
+         before == since.end() ? loop_->Now() : before->second});
+  }
+}
+
 void roster_keeper::EvictSilent() {
+  UpdateMonitored();
   if (leaving_ || !members_->HearsMajority())
     return;
   const time_point now = loop_->Now();
-  for (const roster_member& member : config_->roster().members) {
-    if (member.incarnation == options_.self.incarnation ||
-        evicting_.count(member.incarnation) > 0)
+  for (const monitored_member& item : monitored_) {
+    if (evicting_.count(item.member.incarnation) > 0)
       continue;
-    // A node that just started has heard of nobody yet.
-    const time_point heard = std::max(started_at_, members_->LastHeard(member));
+    // A node that took over a member may not have heard of it yet.
+    const time_point heard =
+        std::max(item.since, members_->LastHeard(item.member));
     duration limit = options_.silence_limit;
-    if (!IsFirstInLine(member))
+    if (item.position > 0)
       limit += options_.backup_delay;
     if (heard + limit <= now)
-      Evict(member);
-  }
-}
-
-bool roster_keeper::IsFirstInLine(const roster_member& silent) const {
-  const time_point now = loop_->Now();
-  const uint64_t own = Rank(silent.incarnation, options_.self.incarnation);
-  for (const roster_member& other : config_->roster().members) {
-    if (other.incarnation == silent.incarnation ||
-        other.incarnation == options_.self.incarnation)
-      continue;
-    const bool alive =
-        members_->LastHeard(other) + options_.silence_limit / 2 > now;
-    if (alive && Rank(silent.incarnation, other.incarnation) > own)
-      return false;
+      Evict(item.member);
+    else if (heard + options_.probe_after <= now)
+      members_->Probe(item.member.peer_address);
   }
-  return true;
 }
 
 void roster_keeper::Evict(const roster_member& member) {
--- a/node/roster_keeper_test.cc
+++ b/node/roster_keeper_test.cc
@@ -65,6 +65,21 @@
   CHECK_EQUAL(1, told);
 }
 
+// Guards against evictions of live members that random gossip reaches only now
+// and then, as in a large fleet.
+TEST(roster_keeper, QuietMembersStay) {
+  node_options rare_gossip;
+  rare_gossip.gossip_interval = seconds(60);
+  fleet cluster(SmallDeployment(12), 1, {}, rare_gossip);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(2 * kFormation);
+  CHECK_EQUAL(12, RosterSize(cluster, 0));
+  const uint64_t appends = cluster.log().appends();
+  cluster.Advance(seconds(120));
+  CHECK_EQUAL(12, RosterSize(cluster, 0));
+  CHECK_EQUAL(appends, cluster.log().appends());
+}
+
 // Guards against an eviction of the old process that hits its successor.
 TEST(roster_keeper, RestartReplacesTheMember) {
   fleet cluster(SmallDeployment(6), 1);
