--- a/node/fault_property_test.cc
+++ b/node/fault_property_test.cc
@@ -1,17 +1,17 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
 #include <functional>
 #include <string>
 
 #include "testing/fault_run.h"
+#include "testing/property.h"
 
 namespace skylarkhoist {
 namespace {
 
-// Histories in CI; RC_PARAMS replaces it, for example to repeat a failure.
-constexpr char kDefaultParams[] = "max_success=1000";
+// Histories in CI.
+constexpr int kHistories = 1000;
 
 // Histories are short, so that many fit into a CI run.
 fault_run_options ShortRun(uint64_t seed) {
@@ -27,7 +27,7 @@
 // Guards against a request path that breaks one of I1 to I12, or leaves a
 // request without exactly one response, when parts fail alone or in pairs.
 TEST(fault_property, InvariantsHoldUnderFaults) {
-  setenv("RC_PARAMS", kDefaultParams, 0);
+  SetPropertyCount(kHistories);
   CHECK_TRUE(rc::check("request path under faults", [](uint64_t seed) {
     const fault_run_result result = RunFaults(ShortRun(seed));
     if (!result.violations.empty())
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -130,11 +130,11 @@
   auto ended = std::move(item.process);
   auto requests = std::move(ended->requests);
   ended.reset();
-  FailRequests(std::move(requests));
+  FailRequests(requests);
 }
 
-void fleet::FailRequests(std::map<uint64_t, open_request> requests) {
-  for (auto& [number, request] : requests)
+void fleet::FailRequests(const std::map<uint64_t, open_request>& requests) {
+  for (const auto& [number, request] : requests)
     request.done(std::nullopt);
 }
 
@@ -253,10 +253,11 @@
   dropped.done(std::nullopt);
 }
 
-std::function<void()> fleet::CallChildren(size_t index,
-                                          const fleet_target& target,
-                                          const http_request& parent,
-                                          std::function<void(int)> done) {
+std::function<void()> fleet::CallChildren(
+    size_t index,
+    const fleet_target& target,
+    const http_request& parent,
+    const std::function<void(int)>& done) {
   const auto left = std::make_shared<int>(target.child_calls);
   const auto worst = std::make_shared<int>(0);
   std::vector<std::function<void()>> cancels;
@@ -279,7 +280,7 @@
                                        const std::string& path,
                                        int number_of_child,
                                        const http_request& parent,
-                                       std::function<void(int)> done) {
+                                       const std::function<void(int)>& done) {
   machine& item = machines_[index];
   if (item.process == nullptr) {
     loop_.RunAfter(duration::zero(), [done] { done(503); });
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -157,13 +157,13 @@
                                   const std::string& path,
                                   int number_of_child,
                                   const http_request& parent,
-                                  std::function<void(int)> done);
+                                  const std::function<void(int)>& done);
   // All child calls of a parent; the highest status counts.
   std::function<void()> CallChildren(size_t index,
                                      const fleet_target& target,
                                      const http_request& parent,
-                                     std::function<void(int)> done);
-  void FailRequests(std::map<uint64_t, open_request> requests);
+                                     const std::function<void(int)>& done);
+  void FailRequests(const std::map<uint64_t, open_request>& requests);
 
   manual_loop loop_;
   loop_wall_clock wall_{loop_};
