--- a/cli/node_process.cc
+++ b/cli/node_process.cc
@@ -68,6 +68,7 @@
   result.plugins = {settings.concurrency_limit, settings.queue_order};
   result.retry_credit = settings.retry_credit;
   result.default_deadline = settings.default_deadline;
+  result.max_open_calls = static_cast<size_t>(settings.max_open_calls);
   result.bootstrap = settings.bootstrap;
   return result;
 }
--- a/node/call_types.cc
+++ b/node/call_types.cc
@@ -81,6 +81,18 @@
   return "unknown";
 }
 
+std::string_view ToText(fbs::member_state state) {
+  switch (state) {
+    case fbs::member_state::kServing:
+      return "serving";
+    case fbs::member_state::kDraining:
+      return "draining";
+    case fbs::member_state::kGone:
+      break;
+  }
+  return "gone";
+}
+
 http_response MakeErrorResponse(const request_id& id,
                                 reason why,
                                 fbs::ran_state ran,
--- a/node/call_types.h
+++ b/node/call_types.h
@@ -37,6 +37,7 @@
 
 std::string ToText(const request_id& id);
 std::string_view ToText(fbs::ran_state ran);
+std::string_view ToText(fbs::member_state state);
 
 // The response that tells a caller why its request was refused or failed.
 http_response MakeErrorResponse(const request_id& id,
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -122,6 +122,10 @@
     FinishError(opened, reason::kDraining, fbs::ran_state::kNo);
     return number;
   }
+  if (calls_.size() > options_.max_open_calls) {
+    FinishError(opened, reason::kOverloaded, fbs::ran_state::kNo);
+    return number;
+  }
   if (const auto refused = Authenticate(opened)) {
     FinishError(opened, *refused, fbs::ran_state::kNo);
     return number;
--- a/node/entry.h
+++ b/node/entry.h
@@ -54,6 +54,10 @@
   // Between two questions about an open call whose link failed.
   duration query_interval = std::chrono::milliseconds(250);
   int max_depth = 16;
+  // Requests of callers that may be open at the same time; bounds the memory
+  // that slow services can take here. Child calls belong to admitted requests
+  // and are not counted against it.
+  size_t max_open_calls = 10000;
   // Called when a request from a caller has its rate token (or needs none),
   // with the retry credit of its chain.
   std::function<void(const http_request& request,
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -128,7 +128,7 @@
   LogStateChange("executor", "target_announced",
                  {{"service", announcement.service},
                   {"address", announcement.address},
-                  {"state", fbs::EnumNamemember_state(announcement.state)}});
+                  {"state", std::string(ToText(announcement.state))}});
   if (!InService(target))
     EmptyQueue(announcement.address, reason::kNoTarget);
   if (targets_changed_)
--- a/node/membership.cc
+++ b/node/membership.cc
@@ -219,7 +219,6 @@
     return;
   if (!same_run) {
     known = member{};
-    known.first_seen = now;
   }
   if (!same_run || ChangesState(known.entry, entry))
     known.sends_left = kSendsPerChange;
@@ -260,7 +259,6 @@
     member& known = found->second;
     if (known.entry.incarnation != peer.incarnation) {
       known = member{};
-      known.first_seen = loop_->Now();
       known.entry.node = peer.node;
       known.entry.zone = peer.zone;
       known.entry.peer_address = peer.address;
@@ -346,18 +344,7 @@
   return peers;
 }
 
-std::vector<std::string> membership::PublicAddressesIn(
-    const std::string& zone) const {
-  std::vector<std::string> addresses;
-  for (const auto& [address, known] : members_) {
-    if (!known.gone && !known.unreachable && known.entry.zone == zone &&
-        known.entry.state == fbs::member_state::kServing)
-      addresses.push_back(known.entry.public_address);
-  }
-  return addresses;
-}
-
-const std::vector<fbs::member_entryT> membership::Entries() const {
+std::vector<fbs::member_entryT> membership::Entries() const {
   std::vector<fbs::member_entryT> entries{self_};
   for (const auto& [address, known] : members_) {
     if (!known.gone)
--- a/node/membership.h
+++ b/node/membership.h
@@ -86,10 +86,8 @@
   std::vector<std::string> NodesBeside(const std::string& service) const;
   // Peer addresses of the nodes that seem to run, without this one.
   std::vector<std::string> LivePeers() const;
-  // Nodes in `zone` that callers may be sent to.
-  std::vector<std::string> PublicAddressesIn(const std::string& zone) const;
-  // Largest configuration offset that any peer reported.
-  const std::vector<fbs::member_entryT> Entries() const;
+  // What this node and each known member that runs say of themselves.
+  std::vector<fbs::member_entryT> Entries() const;
 
   // True when, within the contact window, at least half of the sampled roster
   // members answered. Sampling keeps the cost independent of the size of the
@@ -120,7 +118,6 @@
  private:
   struct member {
     fbs::member_entryT entry;
-    time_point first_seen;
     time_point entry_at;
     time_point last_contact;
     // The link failed and has not come up again.
--- a/node/node.cc
+++ b/node/node.cc
@@ -37,6 +37,7 @@
   result.routing = options.routing;
   result.retry_credit = options.retry_credit;
   result.default_deadline = options.default_deadline;
+  result.max_open_calls = options.max_open_calls;
   result.on_admitted = options.on_admitted;
   result.faults = options.entry_faults;
   return result;
@@ -293,7 +294,7 @@
     for (const auto& target : entry.targets) {
       targets.push_back({{"service", target->service},
                          {"address", target->address},
-                         {"state", fbs::EnumNamemember_state(target->state)},
+                         {"state", ToText(target->state)},
                          {"limit", target->limit},
                          {"load_permille", target->load_permille}});
     }
@@ -301,7 +302,7 @@
                        {"zone", entry.zone},
                        {"peer_address", entry.peer_address},
                        {"public_address", entry.public_address},
-                       {"state", fbs::EnumNamemember_state(entry.state)},
+                       {"state", ToText(entry.state)},
                        {"config_offset", entry.applied_offset},
                        {"targets", targets}});
   }
--- a/node/node.h
+++ b/node/node.h
@@ -39,6 +39,7 @@
   duration gossip_interval = std::chrono::milliseconds(500);
   int retry_credit = kDefaultRetryCredit;
   duration default_deadline = std::chrono::seconds(10);
+  size_t max_open_calls = 10000;
   // Open routes and their services, served until there is a configuration.
   config_view bootstrap;
   // Without the log and without a majority of the roster, keyed work is
--- a/node/node_test.cc
+++ b/node/node_test.cc
@@ -76,6 +76,30 @@
   CHECK_EQUAL(200, open->status);
 }
 
+// Guards against memory that grows without bound while a service is slow.
+TEST(node, RefusesAboveItsBoundOfOpenRequests) {
+  node_options bounded;
+  bounded.max_open_calls = 2;
+  fleet cluster(SmallDeployment(5), 1, {}, bounded);
+  PublishSmallDeployment(&cluster, 1);
+  cluster.Advance(kFormation);
+  int answered = 0;
+  int refused = 0;
+  for (int i = 0; i < 5; ++i) {
+    cluster.Send(0, MakeRequest("GET", "/browse", ""),
+                 [&](const std::optional<http_response>& response) {
+                   if (response && response->status == 200)
+                     ++answered;
+                   else if (response && HeaderOf(*response, "Skylark-Reason") ==
+                                            "overloaded")
+                     ++refused;
+                 });
+  }
+  cluster.Advance(seconds(2));
+  CHECK_EQUAL(2, answered);
+  CHECK_EQUAL(3, refused);
+}
+
 // Guards against a node that serves keyed routes before it knows any
 // configuration.
 TEST(node, RefusesBeforeItHasAConfiguration) {
