--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -36,9 +36,9 @@
       fake_targets::child_call child;
       if (!target.child_path.empty()) {
         child = [this, index, i](const std::string&, const http_request& parent,
-                                 std::function<void(int)> done) {
+                                 const std::function<void(int)>& done) {
           return CallChildren(index, machines_[index].spec.targets[i], parent,
-                              std::move(done));
+                              done);
         };
       }
       targets_.Add(TargetAddress(index, i), target.options, std::move(child));
