--- a/node/fault_property_test.cc
+++ b/node/fault_property_test.cc
@@ -10,8 +10,8 @@
 namespace skylarkhoist {
 namespace {
 
-// Histories in CI. The debug build runs the stated 1,000; the sanitizer build is
-// several times slower and runs the first quarter of the same sequence.
+// Histories in CI. The debug build runs the stated 1,000; the sanitizer build
+// is several times slower and runs the first quarter of the same sequence.
 #ifdef __SANITIZE_ADDRESS__
 constexpr int kHistories = 250;
 #else
