--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -1,5 +1,7 @@
 #include "cli/commands.h"
 
+#include "node/hosted_settings.h"
+
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdlib>
@@ -162,6 +164,19 @@
       command->add_option("FILE", options_.file, "Settings of the node")
           ->required();
     }
+    if (environment_.run_hosted_node) {
+      command =
+          Add(&app, "hosted", "Run a node on a platform that keeps its state",
+              "hosted settings.json",
+              [this] { return environment_.run_hosted_node(options_.file); });
+      command->add_option("FILE", options_.file,
+                          "Settings of the node; by default the file that the "
+                          "platform names");
+    }
+    command =
+        Add(&app, "check-hosted", "Check the settings file of a hosted node",
+            "check-hosted settings.json", [this] { return CheckHosted(); });
+    command->add_option("FILE", options_.file)->required();
     AddConfigCommands(app);
 
     CLI::App* key = app.add_subcommand("key", "Keys of customers");
@@ -265,6 +280,14 @@
     return kExitOk;
   }
 
+  int CheckHosted() {
+    const auto settings = ReadHostedSettings(options_.file);
+    if (!settings)
+      return FailWith(settings.error());
+    Print({{"result", "ok"}}, "no findings\n");
+    return kExitOk;
+  }
+
   int RunNode() {
     const auto settings = ReadNodeSettings(options_.file, environment_.plugins);
     if (!settings)
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -35,6 +35,9 @@
   // The command `node`: runs a node with these settings until it stops and
   // returns the exit code. Left empty, there is no such command.
   std::function<int(const node_settings&)> run_node;
+  // The command `hosted`: runs a node whose fleet hangs on a store, with the
+  // settings of this file. Left empty, there is no such command.
+  std::function<int(const std::string& settings_file)> run_hosted_node;
   // Plug-in names that settings may choose.
   known_plugins plugins;
 };
--- a/decisions/config_view.cc
+++ b/decisions/config_view.cc
@@ -12,12 +12,14 @@
 
 }  // namespace
 
-const route_config* config_view::FindRoute(std::string_view method,
+const route_config* config_view::FindRoute(std::string_view host,
+                                           std::string_view method,
                                            std::string_view path) const {
   path = path.substr(0, path.find('?'));
   const route_config* best = nullptr;
   for (const auto& [name, route] : routes) {
-    if (!MatchesPrefix(path, route.path_prefix))
+    if ((!route.host.empty() && route.host != host) ||
+        !MatchesPrefix(path, route.path_prefix))
       continue;
     if (!route.methods.empty() && route.methods.count(std::string(method)) == 0)
       continue;
--- a/decisions/retry_budget.cc
+++ b/decisions/retry_budget.cc
@@ -4,7 +4,6 @@
 namespace {
 
 constexpr int64_t kWindowSeconds = 10;
-constexpr uint64_t kAttemptsForOneRetry = 10;
 
 }  // namespace
 
@@ -37,7 +36,7 @@
     if (each.second > current.second - kWindowSeconds)
       attempts += each.attempts;
   }
-  if ((retries + 1) * kAttemptsForOneRetry > attempts)
+  if (static_cast<double>(retries + 1) > static_cast<double>(attempts) * share_)
     return false;
   ++current.retries;
   return true;
--- a/decisions/retry_budget.h
+++ b/decisions/retry_budget.h
@@ -8,13 +8,15 @@
 
 namespace skylarkhoist {
 
-// Keeps the retries of one service to at most 10% of its first attempts over
-// the last 10 s, and to none while the service is overloaded.
+// Keeps the retries of one service to a share of its first attempts over the
+// last 10 s, and to none while the service is overloaded.
 //
 //   budget.OnFirstAttempt(now);
 //   if (budget.TakeRetry(now)) { retry }
 class retry_budget {
  public:
+  explicit retry_budget(double share = 0.1) : share_(share) {}
+
   void OnFirstAttempt(time_point now);
 
   // Returns whether a retry may be made now, and counts it.
@@ -32,6 +34,7 @@
 
   slot& SlotAt(time_point now);
 
+  double share_;
   std::deque<slot> slots_;
   bool overloaded_ = false;
 };
--- a/decisions/target_gate.cc
+++ b/decisions/target_gate.cc
@@ -11,6 +11,9 @@
 constexpr size_t kQueuePerSlot = 4;
 constexpr size_t kSpareQueue = 32;
 
+// Runs over which the usual time is averaged.
+constexpr int kRunAverage = 20;
+
 limit_options LimitOptions(const service_config& settings) {
   return {settings.cold_capacity, settings.max_limit};
 }
@@ -45,11 +48,13 @@
 }
 
 std::optional<gate_call> target_gate::TakeNext(time_point now) {
-  if (running_.size() >= static_cast<size_t>(limit_->Limit()))
+  if (running_.size() >= static_cast<size_t>(limit_->Limit()) ||
+      !cold_.HasRoom(now))
     return std::nullopt;
   // Half of the usual time leaves room for calls that are quicker than most.
   std::optional<gate_call> next = queue_->Pop(now, limit_->Latency() / 2);
   if (next) {
+    cold_.Take(now);
     running_[next->id] = {now, static_cast<int>(running_.size()) + 1};
   }
   return next;
@@ -71,6 +76,12 @@
   sample.started = found->second.started;
   sample.latency = std::max(now - sample.started - elsewhere, duration::zero());
   sample.running = found->second.running;
+  if (result == gate_result::kSuccess) {
+    const duration run = now - sample.started;
+    usual_run_ = usual_run_ == duration::zero()
+                     ? run
+                     : usual_run_ + (run - usual_run_) / kRunAverage;
+  }
   running_.erase(found);
   limit_->OnFinished(sample, now);
   BoundQueue();
@@ -95,8 +106,11 @@
   BoundQueue();
 }
 
-std::optional<time_point> target_gate::NextDeadline() const {
-  return queue_->NextDeadline();
+std::optional<time_point> target_gate::NextDeadline(time_point now) const {
+  const std::optional<time_point> expiry = queue_->NextDeadline();
+  if (!expiry || running_.size() >= static_cast<size_t>(limit_->Limit()))
+    return expiry;
+  return std::min(*expiry, cold_.NextAt(now).value_or(*expiry));
 }
 
 uint32_t target_gate::LoadPermille() const {
--- a/decisions/target_gate.h
+++ b/decisions/target_gate.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "decisions/cold_budget.h"
 #include "decisions/concurrency_limit.h"
 #include "decisions/config_view.h"
 #include "decisions/reason.h"
@@ -68,10 +69,22 @@
   // Back to the cold capacity: the target restarted.
   void ResetCold(time_point now);
 
+  // The target is cold until `until`: it gets at most `per_second` calls a
+  // second. A time that has passed ends the state.
+  void SetCold(time_point until, double per_second, time_point now) {
+    cold_.SetCold(until, per_second, now);
+  }
+  bool IsCold(time_point now) const { return cold_.IsCold(now); }
+
   void UpdateSettings(const service_config& settings);
 
-  // When the earliest waiting call must be refused, if any waits.
-  std::optional<time_point> NextDeadline() const;
+  // When TakeNext or TakeRefused must be called again although no call ends, if
+  // any call waits.
+  std::optional<time_point> NextDeadline(time_point now) const;
+
+  // Usual time of a run, with the calls that the target makes for it; zero
+  // before the first.
+  duration UsualRun() const { return usual_run_; }
 
   int limit() const { return limit_->Limit(); }
   size_t running() const { return running_.size(); }
@@ -91,6 +104,8 @@
   void BoundQueue();
 
   service_config settings_;
+  cold_budget cold_;
+  duration usual_run_ = duration::zero();
   std::unique_ptr<concurrency_limit> limit_;
   std::unique_ptr<request_queue> queue_;
   std::unordered_map<request_id, running_call, request_id_hash> running_;
--- a/kernel/log.cc
+++ b/kernel/log.cc
@@ -1,6 +1,8 @@
 #include "kernel/log.h"
 
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstdio>
@@ -14,6 +16,7 @@
 namespace {
 
 log_format g_format = log_format::kJson;
+FILE* g_output = stderr;
 
 // Wall-clock time in UTC, with milliseconds.
 std::string TimeText() {
@@ -53,22 +56,25 @@
   return line.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-// easylogging++ writes to standard output, which belongs to the results of
-// commands.
-class stderr_writer : public el::LogDispatchCallback {
+// Writes whole lines, and drops those for which a full pipe has no room.
+class line_writer : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) override {
     const std::string line = data->logMessage()->logger()->logBuilder()->build(
         data->logMessage(),
         data->dispatchAction() == el::base::DispatchAction::NormalLog);
-    std::fputs(line.c_str(), stderr);
+    const ssize_t written = write(fileno(g_output), line.data(), line.size());
+    (void)written;
   }
 };
 
 }  // namespace
 
-void ConfigureLog(log_format format) {
+void ConfigureLog(log_format format, bool to_standard_output) {
   g_format = format;
+  g_output = to_standard_output ? stdout : stderr;
+  if (to_standard_output)
+    fcntl(fileno(g_output), F_SETFL, O_NONBLOCK);
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(
@@ -77,7 +83,23 @@
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(configuration);
-  el::Helpers::installLogDispatchCallback<stderr_writer>("stderr");
+  el::Helpers::installLogDispatchCallback<line_writer>("lines");
+}
+
+bool IsLogOn() {
+  return g_format != log_format::kOff;
+}
+
+void WriteLogFields(std::string_view component,
+                    std::string_view event,
+                    std::string_view fields) {
+  if (g_format == log_format::kOff)
+    return;
+  std::string line = "{\"time\":\"" + TimeText() + "\",\"level\":\"info\"";
+  line.append(",\"component\":\"").append(component);
+  line.append("\",\"event\":\"").append(event).append("\"");
+  line.append(fields).append("}");
+  LOG(INFO) << line;
 }
 
 void LogStateChange(
--- a/kernel/log.h
+++ b/kernel/log.h
@@ -11,8 +11,13 @@
 // kOff drops all lines, for tests and measurements.
 enum class log_format { kJson, kPlain, kOff };
 
-// Chooses the form of log lines on standard error. Call once at start.
-void ConfigureLog(log_format format);
+// Chooses the form of log lines. They go to standard output when
+// `to_standard_output` is set, and to standard error otherwise, for commands
+// whose output is their result. Lines that cannot be written at once are
+// dropped. Call once at start.
+void ConfigureLog(log_format format, bool to_standard_output = false);
+
+bool IsLogOn();
 
 // Writes one line for a change of state, for example
 //   LogStateChange("peer_link", "link_down", {{"peer", "b"}, {"cause",
@@ -30,6 +35,12 @@
                 std::initializer_list<std::pair<std::string_view, std::string>>
                     fields = {});
 
+// As LogStateChange, with fields that are written already as JSON: each as
+// ,"NAME":VALUE.
+void WriteLogFields(std::string_view component,
+                    std::string_view event,
+                    std::string_view fields);
+
 }  // namespace skylarkhoist
 
 #endif  // KERNEL_LOG_H_
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "decisions/api_key.h"
@@ -11,34 +10,14 @@
 namespace skylarkhoist {
 namespace {
 
-constexpr std::string_view kOwnHeaderPrefix = "Skylark-";
-constexpr std::string_view kBearerPrefix = "Bearer ";
-
 // Load reports of single targets are used for routing this long.
 constexpr duration kLoadReportAge = std::chrono::seconds(2);
 
-// Fields that belong to one connection and are not passed on.
-constexpr std::string_view kConnectionHeaders[] = {
-    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
-    "Host",       "TE",         "Upgrade",           "Authorization"};
+// Lines of one node about ended requests, a second.
+constexpr double kLoggedRequests = 100;
 
-void RemoveOwnAndConnectionHeaders(http_headers* headers) {
-  headers->RemovePrefix(kOwnHeaderPrefix);
-  for (const std::string_view name : kConnectionHeaders)
-    headers->Remove(name);
-}
-
-std::optional<duration> ParseDeadline(const http_headers& headers) {
-  const std::string* text = headers.Find("Skylark-Deadline-Ms");
-  if (text == nullptr)
-    return std::nullopt;
-  int64_t value = 0;
-  const auto [end, error] =
-      std::from_chars(text->data(), text->data() + text->size(), value);
-  if (error != std::errc() || end != text->data() + text->size() || value < 0)
-    return std::nullopt;
-  return std::chrono::milliseconds(std::min<int64_t>(value, 3'600'000));
-}
+// Lost runs are made again only with at least this time left.
+constexpr duration kLeastTimeForRetry = std::chrono::milliseconds(50);
 
 uint64_t Fingerprint(const std::string& customer,
                      const std::string& route,
@@ -57,14 +36,14 @@
 
 entry::entry(loop* loop,
              peer_transport* transport,
-             membership* members,
+             const target_directory* targets,
              context_tokens* contexts,
              random_source* random,
              entry_options options,
              metrics* counters)
     : loop_(loop),
       transport_(transport),
-      members_(members),
+      targets_(targets),
       contexts_(contexts),
       random_(random),
       options_(std::move(options)),
@@ -81,7 +60,12 @@
                             "Answers that match no open call; dropped")),
       damaged_answers_(
           counters->Counter("skylarkhoist_damaged_answers_total",
-                            "Answers with a wrong length or checksum")) {}
+                            "Answers with a wrong length or checksum")),
+      latency_(counters->Histogram(
+          "skylarkhoist_request_seconds",
+          "Time of requests at their entry node",
+          {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5})),
+      log_(loop, "entry", kLoggedRequests) {}
 
 entry::~entry() {
   for (auto& [number, opened] : calls_) {
@@ -109,6 +93,8 @@
   created->request = std::move(request);
   created->reply = std::move(reply);
   created->credit = options_.retry_credit;
+  created->arrived = loop_->Now();
+  created->facts = options_.dialect->Read(created->request);
   *opened = created.get();
   calls_.emplace(sequence, std::move(created));
   return sequence;
@@ -136,56 +122,84 @@
 
 // Finds the route and, unless it is open, the customer behind the key.
 std::optional<reason> entry::Authenticate(call* opened) {
-  http_request& request = opened->request;
-  const route_config* route = config_->FindRoute(request.method, request.path);
+  const http_request& request = opened->request;
+  const route_config* route =
+      config_->FindRoute(opened->facts.host, request.method, request.path);
   if (route == nullptr)
     return config_->offset == 0 ? reason::kConfigStale : reason::kNoRoute;
+  const std::string& key = opened->facts.key;
   if (route->access == route_access::kKeyed) {
     if (fresh_ && !fresh_())
       return reason::kConfigStale;
-    const std::string* field = request.headers.Find("Authorization");
-    if (field == nullptr ||
-        field->compare(0, kBearerPrefix.size(), kBearerPrefix) != 0)
+    if (key.empty())
       return reason::kKeyMissing;
-    const auto parsed =
-        ParseKey(std::string_view(*field).substr(kBearerPrefix.size()));
-    if (!parsed)
-      return reason::kKeyUnknown;
-    const auto key = config_->keys.find(parsed->id);
-    if (key == config_->keys.end() ||
-        !SecretMatches(parsed->secret, key->second.secret_sha256))
-      return reason::kKeyUnknown;
-    if (key->second.withdrawn)
-      return reason::kKeyWithdrawn;
-    const auto customer = config_->customers.find(key->second.customer);
-    if (customer == config_->customers.end() || !customer->second.enabled)
-      return reason::kCustomerDisabled;
-    opened->key_id = parsed->id;
-    opened->customer = key->second.customer;
-    opened->weight = customer->second.weight;
+    const auto owner = config_->foreign_keys.find(key);
+    const auto refused = owner == config_->foreign_keys.end()
+                             ? CheckOwnKey(opened)
+                             : SetCustomer(opened, owner->second);
+    if (refused)
+      return refused;
+  } else if (!key.empty()) {
+    const auto owner = config_->foreign_keys.find(key);
+    if (owner != config_->foreign_keys.end())
+      SetCustomer(opened, owner->second);
+  } else {
+    opened->admitted = options_.open_requests_are_calls;
   }
   return Prepare(opened, *route);
 }
 
+std::optional<reason> entry::CheckOwnKey(call* opened) {
+  const auto parsed = ParseKey(opened->facts.key);
+  if (!parsed)
+    return reason::kKeyUnknown;
+  const auto key = config_->keys.find(parsed->id);
+  if (key == config_->keys.end() ||
+      !SecretMatches(parsed->secret, key->second.secret_sha256))
+    return reason::kKeyUnknown;
+  if (key->second.withdrawn)
+    return reason::kKeyWithdrawn;
+  opened->key_id = parsed->id;
+  return SetCustomer(opened, key->second.customer);
+}
+
+std::optional<reason> entry::SetCustomer(call* opened,
+                                         const std::string& name) {
+  const auto customer = config_->customers.find(name);
+  if (customer == config_->customers.end() || !customer->second.enabled)
+    return reason::kCustomerDisabled;
+  opened->customer = name;
+  opened->weight = customer->second.weight;
+  return std::nullopt;
+}
+
 // Reads what the request says of itself and strips what must not reach a
 // target.
 std::optional<reason> entry::Prepare(call* opened, const route_config& route) {
   http_headers& headers = opened->request.headers;
   opened->route = route.name;
-  opened->service = route.service;
+  opened->service = route.split.empty() ? route.service
+                                        : splits_[route.name].Pick(route.split);
   opened->rank = route.rank;
+  const auto customer = config_->customers.find(opened->customer);
+  if (customer != config_->customers.end())
+    opened->rank = customer->second.rank.value_or(opened->rank);
   opened->repeatable = route.repeatable;
-  const auto service = config_->services.find(route.service);
+  opened->max_runs = route.max_attempts;
+  opened->regions = route.regions;
+  const auto service = config_->services.find(opened->service);
   duration allowed = options_.default_deadline;
   if (service != config_->services.end())
     allowed = std::min(allowed, service->second.call_timeout);
-  if (headers.Find("Skylark-Deadline-Ms") != nullptr) {
-    const auto asked = ParseDeadline(headers);
-    if (!asked)
-      return reason::kBadRequest;
-    allowed = std::min(allowed, *asked);
-  }
-  const time_point deadline = loop_->Now() + allowed;
+  if (!opened->facts.valid)
+    return reason::kBadRequest;
+  if (opened->facts.time_left)
+    allowed = std::min(allowed, *opened->facts.time_left);
+  if (route.timeout > duration::zero())
+    allowed = std::min(allowed, route.timeout);
+  if (route.target_latency > duration::zero())
+    opened->target_at = opened->arrived + route.target_latency;
+  const time_point deadline = opened->arrived + allowed;
   opened->deadline = opened->parent_token.empty()
                          ? deadline
                          : std::min(deadline, opened->deadline);
@@ -195,8 +209,9 @@
     opened->idempotency_key = *key;
   }
   opened->fingerprint =
-      Fingerprint(opened->customer, route.name, opened->request.body);
-  RemoveOwnAndConnectionHeaders(&headers);
+      Fingerprint(opened->customer, route.name + opened->request.path,
+                  opened->request.body);
+  options_.dialect->StripRequest(&headers);
   const entry_call_id number = opened->number;
   opened->deadline_timer =
       loop_->RunAfter(opened->deadline + options_.deadline_grace - loop_->Now(),
@@ -230,8 +245,8 @@
   opened->depth = parent->depth + 1;
   opened->admitted = true;
   const priority_class rank = parent->rank;
-  const route_config* route =
-      config_->FindRoute(opened->request.method, opened->request.path);
+  const route_config* route = config_->FindRoute(
+      opened->facts.host, opened->request.method, opened->request.path);
   std::optional<reason> refused;
   if (route == nullptr)
     refused = reason::kNoRoute;
@@ -263,10 +278,12 @@
     call* waiting = FindCall(number);
     if (waiting == nullptr)
       return;
-    if (result != reason::kOk)
+    if (result != reason::kOk) {
       FinishError(waiting, result, fbs::ran_state::kNo);
-    else
-      OnAdmitted(number);
+      return;
+    }
+    waiting->has_token = true;
+    OnAdmitted(number);
   });
 }
 
@@ -367,9 +384,10 @@
 std::vector<route_candidate> entry::Candidates(const call& opened) {
   std::vector<route_candidate> candidates;
   const time_point now = loop_->Now();
-  for (const member_target& target : members_->TargetsOf(opened.service)) {
+  for (const member_target& target : targets_->TargetsOf(opened.service)) {
     if (!target.reachable || config_->zones_out.count(target.zone) > 0 ||
-        opened.tried.count(target.peer_address) > 0)
+        opened.tried.count(target.peer_address) > 0 ||
+        !IsAllowedZone(opened, target.zone))
       continue;
     route_candidate candidate;
     candidate.node_address = target.peer_address;
@@ -393,6 +411,18 @@
   return candidates;
 }
 
+bool entry::IsAllowedZone(const call& opened, const std::string& zone) const {
+  if (opened.regions.empty())
+    return true;
+  const auto region = options_.regions.find(zone);
+  return region != options_.regions.end() &&
+         opened.regions.count(region->second) > 0;
+}
+
+retry_budget& entry::BudgetOf(const std::string& service) {
+  return budgets_.try_emplace(service, options_.retry_share).first->second;
+}
+
 uint64_t entry::NextAttemptSequence() {
   const uint64_t sequence = next_sequence_++;
   return options_.faults.reuse_sequence ? sequence / 4 : sequence;
@@ -400,9 +430,8 @@
 
 void entry::SendAttempt(call* opened, const route_candidate& target) {
   const time_point now = loop_->Now();
-  retry_budget& budget = budgets_[opened->service];
   if (opened->tried.empty())
-    budget.OnFirstAttempt(now);
+    BudgetOf(opened->service).OnFirstAttempt(now);
   attempt current;
   current.id = {options_.incarnation, NextAttemptSequence()};
   current.address = target.node_address;
@@ -429,10 +458,16 @@
   message.headers = ToWire(opened->request.headers);
   message.body.assign(opened->request.body.begin(), opened->request.body.end());
   message.body_checksum = BodyChecksum(message.body);
+  message.caller_service = options_.local_service;
+  message.route = opened->route;
+  if (opened->target_at != time_point::max())
+    message.target_left_ms = static_cast<uint32_t>(
+        std::max<int64_t>(0, ToMilliseconds(opened->target_at - now)));
 
   opened->tried.insert(target.node_address);
   attempts_.emplace(current.id, opened->number);
   ++open_by_target_[{current.address, current.service}];
+  opened->last_target = current.address;
   opened->current = std::move(current);
   transport_->Send(target.node_address, Envelope(std::move(message)));
 }
@@ -474,7 +509,7 @@
   EndAttempt(opened);
   if (!IsIntact(answer)) {
     damaged_answers_.Increment();
-    FinishError(opened, reason::kAnswerDamaged, fbs::ran_state::kUnknown);
+    OnLost(opened, reason::kAnswerDamaged, fbs::ran_state::kUnknown);
     return;
   }
   switch (answer.outcome) {
@@ -490,7 +525,7 @@
         OnRefused(opened, ReasonFromWire(answer.reason), true);
         return;
       }
-      FinishError(opened, ReasonFromWire(answer.reason), answer.ran);
+      OnLost(opened, ReasonFromWire(answer.reason), answer.ran);
       return;
   }
 }
@@ -507,11 +542,31 @@
 
 void entry::OnRefused(call* opened, reason why, bool local) {
   opened->last_refusal = why;
+  if (why == reason::kShedByTarget)
+    ++opened->sheds;
   if (!local || opened->caller_gone || !MayRetry(opened, why)) {
-    FinishError(opened, why, fbs::ran_state::kNo);
+    FinishError(opened, opened->last_refusal, fbs::ran_state::kNo);
+    return;
+  }
+  retries_.Increment(why);
+  Dispatch(opened->number);
+}
+
+// A run has ended without its answer, or its node is silent.
+void entry::OnLost(call* opened, reason why, fbs::ran_state ran) {
+  EndAttempt(opened);
+  ++opened->runs;
+  const bool again = options_.retry_lost_runs && opened->repeatable &&
+                     !opened->caller_gone &&
+                     why != reason::kDeadlineDuringRun &&
+                     opened->deadline - loop_->Now() >= kLeastTimeForRetry &&
+                     MayRetry(opened, why);
+  if (!again) {
+    FinishError(opened, why, ran);
     return;
   }
   retries_.Increment(why);
+  opened->last_lost = why;
   Dispatch(opened->number);
 }
 
@@ -519,7 +574,8 @@
 // a target or node that takes no calls at all do not add load, so they need no
 // budget.
 bool entry::MayRetry(call* opened, reason why) {
-  if (opened->credit <= 0)
+  if (opened->credit <= 0 || (opened->max_runs > 0 &&
+                              opened->runs + opened->sheds >= opened->max_runs))
     return false;
   const bool target_absent = why == reason::kNoTarget ||
                              why == reason::kDraining ||
@@ -527,7 +583,7 @@
   if (!target_absent) {
     const time_point now = loop_->Now();
     const auto level = admission_.LevelOf(opened->service, now);
-    retry_budget& budget = budgets_[opened->service];
+    retry_budget& budget = BudgetOf(opened->service);
     budget.SetOverloaded(level && *level >= admission::kTargetLoad);
     if (!budget.TakeRetry(now))
       return false;
@@ -540,25 +596,63 @@
   http_response response;
   response.status = answer.status;
   response.headers = FromWire(answer.headers);
-  RemoveOwnAndConnectionHeaders(&response.headers);
-  response.headers.Add("Skylark-Ran", "yes");
-  response.headers.Add("Skylark-Reason", "ok");
-  response.headers.Add("Skylark-Request-Id", ToText(opened->id));
+  options_.dialect->FinishAnswer(opened->id, &response);
   response.body.assign(answer.body.begin(), answer.body.end());
   if (opened->claimed)
     ReportToDedup(*opened, fbs::outcome::kAnswered,
                   std::make_shared<const fbs::call_answerT>(answer));
   ended_.Increment(reason::kOk);
+  LogEnd(*opened, reason::kOk, "yes", response.status);
   Finish(opened, response);
 }
 
 void entry::FinishError(call* opened, reason why, fbs::ran_state ran) {
+  if (ran == fbs::ran_state::kNo && opened->runs > 0) {
+    // An earlier run was lost, so "not run" would be false.
+    ran = fbs::ran_state::kUnknown;
+    why = opened->last_lost;
+  }
+  if (ran == fbs::ran_state::kNo && opened->has_token && return_token_)
+    return_token_(opened->customer);
   ReportToDedup(*opened,
                 ran == fbs::ran_state::kNo ? fbs::outcome::kRefused
                                            : fbs::outcome::kFailed,
                 nullptr);
   ended_.Increment(why);
-  Finish(opened, MakeErrorResponse(opened->id, why, ran, options_.retry_after));
+  const http_response response = options_.dialect->MakeRefusal(
+      opened->id, opened->facts, why, ran, RetryAfter(*opened, why));
+  LogEnd(*opened, why, ToText(ran), response.status);
+  Finish(opened, response);
+}
+
+duration entry::RetryAfter(const call& /*opened*/, reason /*why*/) {
+  return options_.retry_after;
+}
+
+// One line a request, with what decided its end.
+void entry::LogEnd(const call& ended,
+                   reason why,
+                   std::string_view ran,
+                   int status) {
+  const time_point now = loop_->Now();
+  latency_.Observe(std::chrono::duration<double>(now - ended.arrived).count());
+  log_.Write("request_ended", [&](bounded_log::line& line) {
+    line.Add("request", ended.facts.caller_id.empty() ? ToText(ended.id)
+                                                      : ended.facts.caller_id);
+    line.Add("reason", InfoOf(why).label);
+    line.Add("ran", ran);
+    line.Add("status", status);
+    line.Add("route", ended.route);
+    line.Add("service", ended.service);
+    line.Add("customer", ended.customer);
+    line.Add("target_node", ended.last_target);
+    line.Add("attempts", static_cast<int64_t>(ended.tried.size()));
+    line.Add("lost_runs", ended.runs);
+    line.Add("took_ms", ToMilliseconds(now - ended.arrived));
+    line.Add("config", static_cast<int64_t>(config_->offset));
+    if (const auto level = admission_.LevelOf(ended.service, now))
+      line.Add("load_permille", static_cast<int64_t>(*level));
+  });
 }
 
 void entry::ReportToDedup(const call& opened,
@@ -632,7 +726,7 @@
   }
   for (const entry_call_id number : lost) {
     if (call* opened = FindCall(number))
-      FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
+      OnLost(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
   }
 }
 
@@ -653,8 +747,9 @@
       // No link came up since the call was sent, so it never left this node.
       EndAttempt(opened);
       OnRefused(opened, reason::kNoTarget, true);
-    } else if (HasEnded(cause)) {
-      FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
+    } else if (HasEnded(cause) ||
+               (options_.retry_lost_runs && opened->repeatable)) {
+      OnLost(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
     } else if (opened->query_timer == 0) {
       AskAgain(number);
     }
@@ -688,7 +783,7 @@
       opened->current->incarnation != from.incarnation) {
     // Another run of the process knows nothing of the call; that proves
     // nothing.
-    FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
+    OnLost(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
     return;
   }
   switch (state.stage) {
@@ -706,7 +801,7 @@
       if (state.answer != nullptr)
         HandleAnswer(from, *state.answer);
       else
-        FinishError(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
+        OnLost(opened, reason::kLinkLost, fbs::ran_state::kUnknown);
       return;
   }
 }
--- a/node/entry.h
+++ b/node/entry.h
@@ -15,11 +15,14 @@
 #include "decisions/context_tokens.h"
 #include "decisions/retry_budget.h"
 #include "decisions/routing_policy.h"
+#include "decisions/weighted_split.h"
+#include "kernel/bounded_log.h"
 #include "kernel/loop.h"
 #include "kernel/random.h"
 #include "node/call_types.h"
 #include "node/dedup_service.h"
-#include "node/membership.h"
+#include "node/request_dialect.h"
+#include "node/target_directory.h"
 #include "wire/peer_transport.h"
 
 namespace skylarkhoist {
@@ -54,6 +57,19 @@
   // Between two questions about an open call whose link failed.
   duration query_interval = std::chrono::milliseconds(250);
   int max_depth = 16;
+  // How callers are spoken to.
+  const request_dialect* dialect = &OwnDialect();
+  // Service beside this node, told to the targets that run its requests.
+  std::string local_service;
+  // Region of each zone, for routes that are bound to regions.
+  std::map<std::string, std::string> regions;
+  // Requests on open routes without a key come from targets that run admitted
+  // requests.
+  bool open_requests_are_calls = false;
+  // Sends a repeatable request to another target when its run was lost.
+  bool retry_lost_runs = false;
+  // Share of first attempts that may be made again.
+  double retry_share = 0.1;
   // Requests of callers that may be open at the same time; bounds the memory
   // that slow services can take here. Child calls belong to admitted requests
   // and are not counted against it.
@@ -86,7 +102,7 @@
  public:
   entry(loop* loop,
         peer_transport* transport,
-        membership* members,
+        const target_directory* targets,
         context_tokens* contexts,
         random_source* random,
         entry_options options,
@@ -98,6 +114,10 @@
   void SetConfig(std::shared_ptr<const config_view> config);
   void SetDedupService(dedup_service* dedup) { dedup_ = dedup; }
   void SetRateAcquire(rate_acquire acquire) { acquire_ = std::move(acquire); }
+  // Gives a token back whose request did not run.
+  void SetRateReturn(std::function<void(const std::string& customer)> give) {
+    return_token_ = std::move(give);
+  }
   // Tells whether the configuration is fresh enough for keyed work.
   void SetFreshness(std::function<bool()> fresh) { fresh_ = std::move(fresh); }
 
@@ -144,6 +164,7 @@
     request_id id;
     http_request request;
     reply_callback reply;
+    request_facts facts;
     std::string service;
     std::string route;
     std::string customer;
@@ -153,6 +174,7 @@
     priority_class rank = priority_class::kNormal;
     double weight = 1.0;
     bool admitted = false;
+    bool has_token = false;
     bool repeatable = true;
     // Holds the claim on its idempotency key, usable until `claim_until`.
     bool claimed = false;
@@ -163,7 +185,19 @@
     // Part of the parent's credit that a child call took.
     int lent = 0;
     uint64_t fingerprint = 0;
+    time_point arrived;
     time_point deadline;
+    // Until when an answer is worth most to the caller.
+    time_point target_at = time_point::max();
+    // Empty means all.
+    std::set<std::string> regions;
+    // Runs that may have begun, and their bound; 0 means none.
+    int runs = 0;
+    int max_runs = 0;
+    // Targets that refused it themselves; these count as runs in `max_runs`.
+    int sheds = 0;
+    reason last_lost = reason::kLinkLost;
+    std::string last_target;
     std::optional<attempt> current;
     std::set<std::string> tried;
     reason last_refusal = reason::kNoTarget;
@@ -180,6 +214,8 @@
   entry_call_id Open(http_request request, reply_callback reply, call** opened);
   call* FindCall(entry_call_id number);
   std::optional<reason> Authenticate(call* opened);
+  std::optional<reason> CheckOwnKey(call* opened);
+  std::optional<reason> SetCustomer(call* opened, const std::string& name);
   std::optional<reason> Prepare(call* opened, const route_config& route);
   void AcquireRate(entry_call_id number);
   void OnAdmitted(entry_call_id number);
@@ -189,13 +225,18 @@
   void OnClaim(entry_call_id number, const dedup_decision& decision);
   void Dispatch(entry_call_id number);
   std::vector<route_candidate> Candidates(const call& opened);
+  bool IsAllowedZone(const call& opened, const std::string& zone) const;
   void SendAttempt(call* opened, const route_candidate& target);
   void EndAttempt(call* opened);
   void NoteLoad(const std::string& address,
                 const std::string& service,
                 uint32_t permille);
   void OnRefused(call* opened, reason why, bool local);
+  void OnLost(call* opened, reason why, fbs::ran_state ran);
   bool MayRetry(call* opened, reason why);
+  retry_budget& BudgetOf(const std::string& service);
+  duration RetryAfter(const call& opened, reason why);
+  void LogEnd(const call& ended, reason why, std::string_view ran, int status);
   void AskAgain(entry_call_id number);
   void OnDeadline(entry_call_id number);
   bool IsIntact(const fbs::call_answerT& answer) const;
@@ -208,18 +249,21 @@
 
   loop* loop_;
   peer_transport* transport_;
-  membership* members_;
+  const target_directory* targets_;
   context_tokens* contexts_;
   random_source* random_;
   entry_options options_;
   std::shared_ptr<const config_view> config_;
   rate_acquire acquire_;
+  std::function<void(const std::string& customer)> return_token_;
   dedup_service* dedup_ = nullptr;
   std::function<bool()> fresh_;
   child_observer* children_ = nullptr;
   admission admission_;
   std::unique_ptr<routing_policy> routing_;
   std::map<std::string, retry_budget> budgets_;
+  // By route.
+  std::map<std::string, weighted_split> splits_;
   uint64_t next_sequence_ = 1;
   std::unordered_map<entry_call_id, std::unique_ptr<call>> calls_;
   std::unordered_map<request_id, entry_call_id, request_id_hash> attempts_;
@@ -233,6 +277,8 @@
   reason_counters retries_;
   prometheus::Counter& late_answers_;
   prometheus::Counter& damaged_answers_;
+  prometheus::Histogram& latency_;
+  bounded_log log_;
 };
 
 }  // namespace skylarkhoist
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -34,13 +34,8 @@
   return message;
 }
 
-// A target refuses for load with 503 and Retry-After, before it does any work.
-// A 503 after child calls, or without Retry-After, is an answer like any other.
-bool IsShed(const target_result& result, bool made_child_calls) {
-  return result.error == target_error::kNone && result.response.status == 503 &&
-         !made_child_calls &&
-         result.response.headers.Find("Retry-After") != nullptr;
-}
+// Lines of one node about ended executions, a second.
+constexpr double kLoggedExecutions = 50;
 
 }  // namespace
 
@@ -56,6 +51,7 @@
       options_(std::move(options)),
       config_(std::make_shared<config_view>()),
       contexts_(random),
+      answers_(options_.answers),
       ended_(counters,
              "skylarkhoist_executions_total",
              "Calls at the node beside their target by how they ended"),
@@ -64,7 +60,15 @@
       duplicates_(counters->Counter("skylarkhoist_duplicate_calls_total",
                                     "Calls that arrived a second time")),
       damaged_(counters->Counter("skylarkhoist_damaged_calls_total",
-                                 "Calls with a wrong checksum")) {
+                                 "Calls with a wrong checksum")),
+      old_announcements_(counters->Counter(
+          "skylarkhoist_old_announcements_total",
+          "Announcements of targets that were dropped as old")),
+      queue_time_(counters->Histogram(
+          "skylarkhoist_queue_seconds",
+          "Time between arrival and hand-over of a call",
+          {0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1})),
+      log_(loop, "executor", kLoggedExecutions) {
   announcement_timer_ = loop_->RunAfter(std::chrono::seconds(1),
                                         [this] { CheckAnnouncements(); });
 }
@@ -89,10 +93,29 @@
   return fallback;
 }
 
+service_config executor::GateSettings(const target_announcement& target) const {
+  service_config settings = SettingsOf(target.service);
+  if (target.slots > 0) {
+    settings.max_limit =
+        std::max(1, static_cast<int>(target.slots * options_.slot_share));
+  }
+  return settings;
+}
+
+bool executor::IsOld(const local_target& target,
+                     const target_announcement& announcement) const {
+  if (announcement.lifetime == 0)
+    return false;
+  if (announcement.lifetime != target.announced.lifetime)
+    return announcement.lifetime < target.announced.lifetime;
+  return announcement.id == target.announced.id &&
+         announcement.sequence <= target.announced.sequence;
+}
+
 void executor::SetConfig(std::shared_ptr<const config_view> config) {
   config_ = std::move(config);
   for (auto& [address, target] : targets_)
-    target.gate->UpdateSettings(SettingsOf(target.announced.service));
+    target.gate->UpdateSettings(GateSettings(target.announced));
   std::vector<std::string> addresses;
   for (const auto& [address, target] : targets_)
     addresses.push_back(address);
@@ -104,12 +127,20 @@
     targets_changed_();
 }
 
-void executor::Announce(const target_announcement& announcement) {
+bool executor::Announce(const target_announcement& announcement) {
   const time_point now = loop_->Now();
   auto [found, inserted] = targets_.try_emplace(announcement.address);
   local_target& target = found->second;
+  const bool same_run = target.announced.id == announcement.id &&
+                        target.announced.lifetime == announcement.lifetime;
+  if (!inserted &&
+      (IsOld(target, announcement) || (target.departed && same_run))) {
+    old_announcements_.Increment();
+    return false;
+  }
   const bool restarted =
-      inserted || target.down ||
+      inserted || target.down || target.announced.id != announcement.id ||
+      target.announced.lifetime != announcement.lifetime ||
       target.announced.service != announcement.service ||
       (target.announced.state != fbs::member_state::kServing &&
        announcement.state == fbs::member_state::kServing);
@@ -118,21 +149,51 @@
   target.announced = announcement;
   target.announced_at = now;
   target.down = false;
+  target.departed = false;
+  const service_config settings = GateSettings(announcement);
   if (inserted)
     target.gate =
-        std::make_unique<target_gate>(SettingsOf(announcement.service), now);
+        std::make_unique<target_gate>(settings, now, options_.plugins);
   else if (restarted)
     target.gate->ResetCold(now);
+  target.gate->UpdateSettings(settings);
+  target.gate->SetCold(now + announcement.cold_left, settings.cold_per_second,
+                       now);
   if (!changed)
-    return;
-  LogStateChange("executor", "target_announced",
-                 {{"service", announcement.service},
-                  {"address", announcement.address},
-                  {"state", std::string(ToText(announcement.state))}});
+    return true;
+  LogStateChange(
+      "executor", "target_announced",
+      {{"service", announcement.service},
+       {"address", announcement.address},
+       {"id", announcement.id},
+       {"lifetime", std::to_string(announcement.lifetime)},
+       {"sequence", std::to_string(announcement.sequence)},
+       {"cold_ms", std::to_string(ToMilliseconds(announcement.cold_left))},
+       {"state", std::string(ToText(announcement.state))}});
   if (!InService(target))
     EmptyQueue(announcement.address, reason::kNoTarget);
   if (targets_changed_)
     targets_changed_();
+  return true;
+}
+
+bool executor::Depart(const std::string& id, int64_t lifetime) {
+  for (auto& [address, target] : targets_) {
+    if (target.announced.id != id ||
+        (lifetime != 0 && lifetime != target.announced.lifetime))
+      continue;
+    target.departed = true;
+    target.announced.state = fbs::member_state::kGone;
+    LogStateChange("executor", "target_departed",
+                   {{"service", target.announced.service},
+                    {"address", address},
+                    {"id", id}});
+    EmptyQueue(address, reason::kNoTarget);
+    if (targets_changed_)
+      targets_changed_();
+    return true;
+  }
+  return false;
 }
 
 bool executor::InService(const local_target& target) const {
@@ -274,7 +335,10 @@
     FinishRefused(id, *why, *why == reason::kZoneOut);
     return;
   }
-  const auto verdict = suspects_.Check(call.service, call.fingerprint, now);
+  const auto verdict =
+      options_.track_suspects
+          ? suspects_.Check(call.service, call.fingerprint, now)
+          : suspect_verdict::kNormal;
   if (verdict == suspect_verdict::kQuarantined)
     FinishRefused(id, reason::kQuarantined, false);
   else if (verdict == suspect_verdict::kNormal)
@@ -331,7 +395,7 @@
   local_target& target = targets_.at(address);
   loop_->Cancel(target.pump_timer);
   target.pump_timer = 0;
-  const auto next = target.gate->NextDeadline();
+  const auto next = target.gate->NextDeadline(loop_->Now());
   if (!next)
     return;
   target.pump_timer = loop_->RunAfter(*next - loop_->Now(), [this, address] {
@@ -355,7 +419,7 @@
     FinishRefused(id, *refused, *refused == reason::kZoneOut);
     return;
   }
-  if (!entry->trial &&
+  if (!entry->trial && options_.track_suspects &&
       suspects_.Check(entry->call.service, entry->call.fingerprint, now) !=
           suspect_verdict::kNormal) {
     target->gate->OnFinished(id, gate_result::kCancelled, now);
@@ -376,12 +440,19 @@
   request.method = entry->call.method;
   request.path = entry->call.path;
   request.headers = skylarkhoist::FromWire(entry->call.headers);
-  request.headers.Add("Skylark-Context", contexts_.Issue(std::move(context)));
-  request.headers.Add("Skylark-Deadline-Ms",
-                      std::to_string(ToMilliseconds(entry->deadline - now)));
+  handover_facts facts;
+  facts.customer = entry->call.customer;
+  facts.caller_service = entry->call.caller_service;
+  facts.target_id = target->announced.id;
+  facts.context_token = contexts_.Issue(std::move(context));
+  facts.time_left = entry->deadline - now;
+  options_.dialect->AddForTarget(facts, &request.headers);
   request.body.assign(entry->call.body.begin(), entry->call.body.end());
 
   entry->running = true;
+  entry->started = now;
+  queue_time_.Observe(
+      std::chrono::duration<double>(now - entry->arrived).count());
   answers_.Start(id);
   handed_over_.Increment();
   entry->target_call = target_client_->Call(
@@ -410,9 +481,14 @@
     return;
   execution& entry = found->second;
   const std::string address = entry.target;
-  const bool shed = IsShed(result, entry.made_child_calls);
+  const run_verdict verdict =
+      result.error == target_error::kNone
+          ? options_.dialect->Judge(result.response, entry.made_child_calls)
+          : run_verdict::kRan;
+  const bool shed = verdict != run_verdict::kRan;
   const bool not_run = shed || !result.may_have_run;
-  NoteEndOfRun(entry, result);
+  if (options_.track_suspects)
+    NoteEndOfRun(entry, result);
   const auto target = targets_.find(address);
   if (target != targets_.end()) {
     if (!entry.trial)
@@ -423,10 +499,11 @@
     if (result.error == target_error::kConnectionLost ||
         result.error == target_error::kConnectRefused)
       target->second.gate->ResetCold(loop_->Now());
-    if (result.error == target_error::kConnectRefused)
+    if (result.error == target_error::kConnectRefused ||
+        verdict == run_verdict::kOtherTarget)
       MarkDown(address);
   }
-  if (shed)
+  if (verdict == run_verdict::kNotRun)
     FinishRefused(id, reason::kShedByTarget, true);
   else if (not_run)
     FinishRefused(id, reason::kNoTarget, true);
@@ -635,7 +712,12 @@
   own.service = entry.call.service;
   const auto target = targets_.find(entry.target);
   if (target != targets_.end()) {
-    own.permille = target->second.gate->LoadPermille();
+    const target_gate& gate = *target->second.gate;
+    own.permille = gate.LoadPermille();
+    own.run_us = static_cast<uint32_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(gate.UsualRun())
+            .count());
+    own.cold = gate.IsCold(loop_->Now());
     answer.loads.push_back(std::make_unique<fbs::load_levelT>(own));
   }
   if (downstream_loads_) {
@@ -643,6 +725,7 @@
       answer.loads.push_back(std::make_unique<fbs::load_levelT>(level));
   }
   ended_.Increment(ReasonFromWire(answer.reason));
+  LogEnd(entry, answer);
   const std::string origin = entry.origin.address;
   executions_.erase(found);
   const size_t bytes = answer.body.size() + kAnswerOverhead;
@@ -653,6 +736,42 @@
     std::exchange(drained_, nullptr)();
 }
 
+// One line for each call that was not answered by its target, with what
+// decided that.
+void executor::LogEnd(const execution& ended, const fbs::call_answerT& answer) {
+  if (answer.outcome == fbs::outcome::kAnswered && answer.status < 500)
+    return;
+  const time_point now = loop_->Now();
+  log_.Write("execution_ended", [&](bounded_log::line& line) {
+    line.Add("request", CallerIdOf(ended.call));
+    line.Add("reason", InfoOf(ReasonFromWire(answer.reason)).label);
+    line.Add("ran", ToText(answer.ran));
+    line.Add("status", static_cast<int64_t>(answer.status));
+    line.Add("route", ended.call.route);
+    line.Add("origin", ended.origin.address);
+    line.Add("target", ended.target);
+    line.Add("waited_ms", ToMilliseconds((ended.running ? ended.started : now) -
+                                         ended.arrived));
+    line.Add("ran_ms", ended.running ? ToMilliseconds(now - ended.started) : 0);
+    line.Add("time_left_ms", ToMilliseconds(ended.deadline - now));
+    const auto target = targets_.find(ended.target);
+    if (target == targets_.end())
+      return;
+    line.Add("running", static_cast<int64_t>(target->second.gate->running()));
+    line.Add("waiting", static_cast<int64_t>(target->second.gate->waiting()));
+    line.Add("limit", target->second.gate->limit());
+    line.Add("announced_ms_ago",
+             ToMilliseconds(now - target->second.announced_at));
+  });
+}
+
+std::string executor::CallerIdOf(const fbs::call_requestT& call) const {
+  http_request request;
+  request.headers = skylarkhoist::FromWire(call.headers);
+  const std::string id = options_.dialect->Read(request).caller_id;
+  return id.empty() ? ToText(skylarkhoist::FromWire(call.id)) : id;
+}
+
 void executor::HandleCancel(const fbs::call_cancelT& cancel) {
   const request_id id = skylarkhoist::FromWire(cancel.id);
   const auto found = executions_.find(id);
--- a/node/executor.h
+++ b/node/executor.h
@@ -18,6 +18,7 @@
 #include "kernel/random.h"
 #include "node/call_types.h"
 #include "node/entry.h"
+#include "node/request_dialect.h"
 #include "wire/peer_transport.h"
 #include "wire/target_client.h"
 
@@ -28,6 +29,18 @@
   std::string service;
   std::string address;
   fbs::member_state state = fbs::member_state::kServing;
+  // Identity of this run of the target; empty when it has none.
+  std::string id;
+  // Start of this run, in any unit that rises from run to run, and the number
+  // of the announcement in the run. An announcement of an earlier run, or with
+  // a number that is not above the last one, is dropped. 0 when targets don't
+  // number their announcements.
+  int64_t lifetime = 0;
+  int64_t sequence = 0;
+  // Calls that the target runs at the same time; 0 when it does not tell.
+  int slots = 0;
+  // How long the target stays cold.
+  duration cold_left = duration::zero();
 };
 
 // Deliberate faults, which show that the checkers of testing/checkers.h report
@@ -45,6 +58,14 @@
   // A target is out of service when its last announcement is older than this:
   // three missed announcements at one a second.
   duration announcement_limit = std::chrono::seconds(3);
+  // How targets are spoken to.
+  const request_dialect* dialect = &OwnDialect();
+  // Holds requests back that were in progress when a target died.
+  bool track_suspects = true;
+  // Share of a target's slots that are used. A target that slows down or hangs
+  // when it is full keeps a spare slot for connections that are just made.
+  double slot_share = 0.95;
+  answer_cache_limits answers;
   executor_test_faults faults;
 };
 
@@ -66,7 +87,12 @@
   void SetConfig(std::shared_ptr<const config_view> config);
 
   // Targets announce themselves at least once a second.
-  void Announce(const target_announcement& announcement);
+  // Returns false when the announcement was dropped as old.
+  bool Announce(const target_announcement& announcement);
+
+  // The target `id` leaves and says no more. `lifetime` is that of its run; 0
+  // when it is not known. Returns false when there is no such target.
+  bool Depart(const std::string& id, int64_t lifetime);
 
   // The targets of this node for gossip.
   std::vector<fbs::target_entryT> DescribeTargets() const;
@@ -112,8 +138,11 @@
     target_announcement announced;
     time_point announced_at;
     std::unique_ptr<target_gate> gate;
-    // Connections were refused since the last announcement.
+    // Connections were refused since the last announcement, or another target
+    // has the address.
     bool down = false;
+    // This run has left; only another run comes back.
+    bool departed = false;
     // Set while a suspect waits for the target to be idle or runs on it.
     std::optional<request_id> exclusive;
     timer_id pump_timer = 0;
@@ -125,6 +154,7 @@
     std::string target;
     time_point deadline;
     time_point arrived;
+    time_point started;
     bool running = false;
     // Runs alone as the trial of a suspect, outside of the gate.
     bool trial = false;
@@ -140,6 +170,9 @@
   using target_map = std::map<std::string, local_target>;
 
   service_config SettingsOf(const std::string& service) const;
+  service_config GateSettings(const target_announcement& target) const;
+  bool IsOld(const local_target& target,
+             const target_announcement& announcement) const;
   bool InService(const local_target& target) const;
   std::optional<reason> CheckBeforeRun(const fbs::call_requestT& call,
                                        time_point now) const;
@@ -153,6 +186,8 @@
   static gate_result GateResultOf(const execution& ended,
                                   const target_result& result,
                                   bool shed);
+  void LogEnd(const execution& ended, const fbs::call_answerT& answer);
+  std::string CallerIdOf(const fbs::call_requestT& call) const;
   void HandOver(local_target* target, execution* entry);
   void OnResult(const request_id& id, const target_result& result);
   void FinishAnswered(execution* entry, const target_result& result);
@@ -192,6 +227,9 @@
   prometheus::Counter& handed_over_;
   prometheus::Counter& duplicates_;
   prometheus::Counter& damaged_;
+  prometheus::Counter& old_announcements_;
+  prometheus::Histogram& queue_time_;
+  bounded_log log_;
 };
 
 }  // namespace skylarkhoist
--- /dev/null
+++ b/node/hosted_node.cc
@@ -0,0 +1,237 @@
+#include "node/hosted_node.h"
+
+#include <utility>
+
+#include "kernel/log.h"
+
+namespace skylarkhoist {
+namespace {
+
+// Answers are kept for a node that lost its link and asks; a request that is
+// older than its caller's patience is not asked for.
+constexpr duration kKeepAnswers = std::chrono::seconds(6);
+constexpr size_t kKeepAnswerBytes = size_t{2} << 20;
+
+// Retries of a run repeat the calls that it made, so the share multiplies over
+// the depth of a chain: four levels stay below the fifth that all together may
+// reach.
+constexpr double kRetryShare = 0.04;
+
+peer_info SelfInfo(const hosted_node_options& options) {
+  return {options.peer_address, options.name, options.zone,
+          options.incarnation};
+}
+
+node_directory_options DirectoryOptions(const hosted_node_options& options) {
+  node_directory_options result;
+  result.node = options.name;
+  result.zone = options.zone;
+  result.peer_address = options.peer_address;
+  result.incarnation = options.incarnation;
+  return result;
+}
+
+executor_options ExecutorOptions(const hosted_node_options& options) {
+  executor_options result;
+  result.zone = options.zone;
+  // Targets tell their slots, and a run's time says little about its target,
+  // since it holds the time of the calls that the target makes.
+  result.plugins.limit = "static";
+  result.announcement_limit = options.announcement_limit;
+  result.dialect = options.dialect;
+  result.track_suspects = false;
+  result.answers.keep = kKeepAnswers;
+  result.answers.max_bytes = kKeepAnswerBytes;
+  return result;
+}
+
+entry_options EntryOptions(const hosted_node_options& options) {
+  entry_options result;
+  result.incarnation = options.incarnation;
+  result.zone = options.zone;
+  result.regions = options.regions;
+  result.dialect = options.dialect;
+  result.local_service = options.local_service;
+  result.open_requests_are_calls = true;
+  result.retry_lost_runs = true;
+  result.retry_share = kRetryShare;
+  result.deadline_grace = std::chrono::milliseconds(20);
+  return result;
+}
+
+}  // namespace
+
+hosted_node::hosted_node(hosted_node_options options,
+                         const hosted_node_parts& parts)
+    : options_(std::move(options)),
+      parts_(parts),
+      transport_(parts.run_loop, parts.transport, SelfInfo(options_)),
+      directory_(parts.run_loop,
+                 parts.store,
+                 &transport_,
+                 DirectoryOptions(options_)),
+      executor_(parts.run_loop,
+                &transport_,
+                parts.targets,
+                parts.random,
+                ExecutorOptions(options_),
+                parts.counters),
+      entry_(parts.run_loop,
+             &transport_,
+             &directory_,
+             &executor_.contexts(),
+             parts.random,
+             EntryOptions(options_),
+             parts.counters),
+      state_(parts.run_loop,
+             parts.store,
+             &transport_,
+             parts.operators,
+             parts.counters),
+      tokens_(parts.run_loop,
+              &transport_,
+              options_.peer_address,
+              options_.name,
+              parts.counters) {
+  entry_.SetRateAcquire([this](const std::string& customer,
+                               time_point /*deadline*/,
+                               std::function<void(reason)> done) {
+    tokens_.Acquire(customer, std::move(done));
+  });
+  entry_.SetRateReturn(
+      [this](const std::string& customer) { tokens_.Return(customer); });
+  state_.OnChange([this] {
+    entry_.SetConfig(state_.view());
+    executor_.SetConfig(state_.view());
+    tokens_.SetConfig(state_.view());
+  });
+  directory_.OnMembersChanged([this] { OnMembersChanged(); });
+  executor_.OnTargetsChanged(
+      [this] { directory_.SetTargets(executor_.DescribeTargets()); });
+  executor_.SetDownstreamLoads([this](const std::string& service) {
+    return entry_.DownstreamLoads(service);
+  });
+}
+
+hosted_node::~hosted_node() {
+  parts_.run_loop->Cancel(drain_timer_);
+}
+
+void hosted_node::Start() {
+  transport_.Start(this);
+  directory_.Start();
+  state_.Start();
+}
+
+void hosted_node::OnMembersChanged() {
+  tokens_.SetMembers(directory_.LiveNodes(), directory_.HasMajority());
+}
+
+void hosted_node::OnPeerMessage(const peer_info& from,
+                                const fbs::envelopeT& message) {
+  const fbs::payloadUnion& body = message.body;
+  if (const auto* call = body.Ascall_request())
+    executor_.HandleCall(from, *call);
+  else if (const auto* answer = body.Ascall_answer())
+    entry_.HandleAnswer(from, *answer);
+  else if (const auto* cancel = body.Ascall_cancel())
+    executor_.HandleCancel(*cancel);
+  else if (const auto* query = body.Ascall_query())
+    executor_.HandleQuery(from, *query);
+  else if (const auto* state = body.Ascall_state())
+    entry_.HandleState(from, *state);
+  else if (const auto* gossip = body.Asgossip())
+    directory_.HandleGossip(from, *gossip);
+  else if (const auto* request = body.Asconfig_request())
+    state_.HandleRequest(from.address, *request);
+  else if (const auto* whole = body.Asconfig_state())
+    state_.HandleState(from.address, *whole);
+  else if (const auto* ask = body.Astoken_request())
+    tokens_.HandleRequest(from, *ask);
+  else if (const auto* grant = body.Astoken_grant())
+    tokens_.HandleGrant(from, *grant);
+  else if (const auto* beat = body.Asheartbeat())
+    state_.NotePeerOffset(from.address, beat->applied_offset);
+}
+
+void hosted_node::OnLinkUp(const peer_info& peer) {
+  directory_.OnLinkUp(peer);
+  entry_.OnLinkUp(peer);
+}
+
+void hosted_node::OnLinkDown(const peer_info& peer, link_down_cause cause) {
+  directory_.OnLinkDown(peer, cause);
+  entry_.OnLinkDown(peer, cause);
+}
+
+fbs::heartbeatT hosted_node::MakeHeartbeat() {
+  fbs::heartbeatT beat;
+  beat.counter = ++heartbeat_counter_;
+  beat.applied_offset = state_.applied_offset();
+  return beat;
+}
+
+void hosted_node::Drain(std::function<void()> drained) {
+  if (draining_)
+    return;
+  draining_ = true;
+  drained_ = std::move(drained);
+  LogStateChange("node", "draining",
+                 {{"node", options_.name},
+                  {"open_requests", std::to_string(entry_.open_calls())}});
+  directory_.SetDraining();
+  executor_.StopAccepting();
+  // Callers come until they have noticed that this node is not ready; they are
+  // served through the targets of the others. The local target's calls are
+  // served to the end.
+  drain_timer_ = parts_.run_loop->RunAfter(options_.drain_grace, [this] {
+    drain_timer_ = 0;
+    executor_.Drain([this] { entry_.Drain([this] { FinishDrain(); }); });
+  });
+}
+
+void hosted_node::FinishDrain() {
+  directory_.Leave([] {});
+  // Gives the last messages time to leave.
+  drain_timer_ =
+      parts_.run_loop->RunAfter(std::chrono::milliseconds(100), [this] {
+        drain_timer_ = 0;
+        LogStateChange("node", "drained", {{"node", options_.name}});
+        std::exchange(drained_, nullptr)();
+      });
+}
+
+json hosted_node::Status() const {
+  const time_point now = parts_.run_loop->Now();
+  const duration age = state_.StoreAge(now);
+  json status;
+  status["node"] = options_.name;
+  status["zone"] = options_.zone;
+  status["ready"] = IsReady();
+  status["draining"] = draining_;
+  status["config_version"] = state_.version();
+  status["config_offset"] = state_.applied_offset();
+  status["store_age_ms"] =
+      age == duration::max() ? json(nullptr) : json(ToMilliseconds(age));
+  status["has_majority"] = directory_.HasMajority();
+  status["open_requests"] = entry_.open_calls();
+  status["open_executions"] = executor_.open_calls();
+  json members = json::array();
+  for (const fbs::member_entryT& entry : directory_.Entries()) {
+    json targets = json::array();
+    for (const auto& target : entry.targets) {
+      targets.push_back({{"service", target->service},
+                         {"address", target->address},
+                         {"state", ToText(target->state)},
+                         {"limit", target->limit}});
+    }
+    members.push_back({{"node", entry.node},
+                       {"zone", entry.zone},
+                       {"peer_address", entry.peer_address},
+                       {"targets", targets}});
+  }
+  status["members"] = members;
+  return status;
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/node/hosted_settings.cc
@@ -0,0 +1,143 @@
+#include "node/hosted_settings.h"
+
+#include <fstream>
+#include <iterator>
+#include <set>
+
+#include "kernel/json.h"
+#include "kernel/json_schema.h"
+#include "wire/address.h"
+
+namespace skylarkhoist {
+namespace {
+
+constexpr char kSchema[] = R"json({
+"type": "object", "additionalProperties": false,
+"required": ["node", "zone", "zones", "listeners", "target", "store"],
+"properties": {
+  "node": {"type": "string", "minLength": 1, "x-must": "a name"},
+  "zone": {"type": "string", "minLength": 1, "x-must": "the name of a zone"},
+  "zones": {"type": "object", "additionalProperties": {"type": "string"},
+    "x-must": "an object with the region of each zone"},
+  "listeners": {
+    "type": "object", "additionalProperties": false,
+    "required": ["requests", "ready", "announcements", "peer", "metrics"],
+    "properties": {
+      "requests": {"type": "string", "x-must": "an address (\"ip:port\")"},
+      "ready": {"type": "string", "x-must": "an address (\"ip:port\")"},
+      "announcements": {"type": "string", "x-must": "an address (\"ip:port\")"},
+      "peer": {"type": "string", "x-must": "an address (\"ip:port\")"},
+      "metrics": {"type": "string", "x-must": "an address (\"ip:port\")"}
+    }
+  },
+  "target": {
+    "type": "object", "additionalProperties": false, "required": ["service", "address"],
+    "properties": {
+      "service": {"type": "string", "x-must": "the name of a service"},
+      "address": {"type": "string", "x-must": "an address (\"ip:port\")"}
+    }
+  },
+  "store": {
+    "type": "object", "additionalProperties": false, "required": ["address"],
+    "properties": {"address": {"type": "string", "x-must": "an address (\"ip:port\")"}}
+  },
+  "limits": {
+    "type": "object", "additionalProperties": false,
+    "properties": {
+      "max_header_bytes": {"type": "integer", "minimum": 1024, "maximum": 262144,
+        "x-must": "a whole number from 1024 to 262144"},
+      "max_body_bytes": {"type": "integer", "minimum": 0, "maximum": 1073741824,
+        "x-must": "a whole number from 0 to 1073741824"}
+    }
+  },
+  "announcement_interval_ms": {"type": "number", "minimum": 100, "maximum": 60000,
+    "x-must": "milliseconds from 100 to 60000"},
+  "stop_grace_s": {"type": "number", "minimum": 0.5, "maximum": 600,
+    "x-must": "seconds from 0.5 to 600"}
+}})json";
+
+const json_schema& Schema() {
+  static const auto* const kCompiled = new json_schema(json::parse(kSchema));
+  return *kCompiled;
+}
+
+void CheckAddress(const std::string& place,
+                  const std::string& address,
+                  findings* problems) {
+  const auto parts = SplitAddress(address);
+  if (!parts || parts->port == 0)
+    problems->Add(place, "must be an address (\"ip:port\"), got " +
+                             ShortText(json(address)));
+}
+
+}  // namespace
+
+tl::expected<hosted_settings, findings> ParseHostedSettings(
+    std::string_view text) {
+  const auto value = ParseJson(text);
+  if (!value)
+    return tl::unexpected(value.error());
+  findings problems;
+  Schema().Check(*value, "", &problems);
+  if (!problems.empty())
+    return tl::unexpected(problems);
+  hosted_settings result;
+  result.node = value->at("node");
+  result.zone = value->at("zone");
+  result.regions = value->at("zones").get<std::map<std::string, std::string>>();
+  result.target_service = value->at("target").at("service");
+  const struct {
+    const char* place;
+    std::string* target;
+  } addresses[] = {
+      {"/listeners/requests", &result.request_address},
+      {"/listeners/ready", &result.ready_address},
+      {"/listeners/announcements", &result.announcement_address},
+      {"/listeners/peer", &result.peer_address},
+      {"/listeners/metrics", &result.metrics_address},
+      {"/target/address", &result.target_address},
+      {"/store/address", &result.store_address},
+  };
+  std::set<std::string> used;
+  for (const auto& each : addresses) {
+    *each.target = value->at(json::json_pointer(each.place));
+    CheckAddress(each.place, *each.target, &problems);
+    if (!used.insert(*each.target).second)
+      problems.Add(each.place, "is used for something else too");
+  }
+  if (result.regions.count(result.zone) == 0)
+    problems.Add("/zone", "must be one of /zones");
+  if (value->contains("limits")) {
+    const json& limits = value->at("limits");
+    result.max_header_bytes =
+        limits.value("max_header_bytes", result.max_header_bytes);
+    result.max_body_bytes =
+        limits.value("max_body_bytes", result.max_body_bytes);
+  }
+  using milliseconds = std::chrono::duration<double, std::milli>;
+  using seconds = std::chrono::duration<double>;
+  if (value->contains("announcement_interval_ms"))
+    result.announcement_interval = std::chrono::duration_cast<duration>(
+        milliseconds(value->at("announcement_interval_ms").get<double>()));
+  if (value->contains("stop_grace_s"))
+    result.stop_grace = std::chrono::duration_cast<duration>(
+        seconds(value->at("stop_grace_s").get<double>()));
+  if (!problems.empty())
+    return tl::unexpected(problems);
+  return result;
+}
+
+tl::expected<hosted_settings, findings> ReadHostedSettings(
+    const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  const std::string text{std::istreambuf_iterator<char>(stream),
+                         std::istreambuf_iterator<char>()};
+  if (!stream) {
+    findings problems;
+    problems.Add(file, "cannot be read");
+    return tl::unexpected(problems);
+  }
+  return ParseHostedSettings(text);
+}
+
+}  // namespace skylarkhoist
--- a/node/membership.h
+++ b/node/membership.h
@@ -10,6 +10,7 @@
 #include "decisions/roster.h"
 #include "kernel/loop.h"
 #include "kernel/random.h"
+#include "node/target_directory.h"
 #include "wire/peer_transport.h"
 
 namespace skylarkhoist {
@@ -34,31 +35,18 @@
   duration contact_window = std::chrono::seconds(10);
 };
 
-// A target as its node last described it.
-struct member_target {
-  std::string peer_address;
-  std::string zone;
-  uint64_t incarnation = 0;
-  uint32_t load_permille = 0;
-  uint32_t limit = 0;
-  // When this node first saw the target in service.
-  time_point seen_since;
-  time_point load_at;
-  bool reachable = true;
-};
-
 // What this node knows of the others: which nodes run, in which zone, and the
 // targets beside them. Spreads by gossip: each node speaks for itself with a
 // rising version, and each change of state is passed on a bounded number of
 // times. Load reports reach direct receivers only. The cost of a tick does not
 // depend on the size of the fleet.
-class membership {
+class membership : public target_directory {
  public:
   membership(loop* loop,
              peer_transport* transport,
              random_source* random,
              membership_options options);
-  ~membership();
+  ~membership() override;
   membership(const membership&) = delete;
   membership& operator=(const membership&) = delete;
 
@@ -79,8 +67,8 @@
   // Any message is a sign of life.
   void NoteContact(const peer_info& peer);
 
-  // Targets of `service` that are in service by their own word.
-  std::vector<member_target> TargetsOf(const std::string& service) const;
+  std::vector<member_target> TargetsOf(
+      const std::string& service) const override;
   // Peer addresses of the nodes beside a target of `service`, in service or
   // not, without this one.
   std::vector<std::string> NodesBeside(const std::string& service) const;
--- /dev/null
+++ b/node/operator_records.h
@@ -0,0 +1,43 @@
+#ifndef NODE_OPERATOR_RECORDS_H_
+#define NODE_OPERATOR_RECORDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+#include <variant>
+
+#include "decisions/config_view.h"
+#include "kernel/findings.h"
+#include "wire/keyed_store.h"
+
+namespace skylarkhoist {
+
+// A whole configuration.
+struct configuration_record {
+  // Rises with each configuration.
+  uint64_t version = 0;
+  config_view view;
+};
+
+// A zone that is out of service, or in service again.
+struct zone_record {
+  std::string zone;
+  bool out = false;
+};
+
+// `std::monostate`: the record is none of these and changes nothing.
+using operator_record =
+    std::variant<std::monostate, configuration_record, zone_record>;
+
+// Reads what operators write to the store.
+class operator_record_reader {
+ public:
+  virtual ~operator_record_reader() = default;
+  virtual tl::expected<operator_record, findings> Read(
+      const keyed_record& record) const = 0;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // NODE_OPERATOR_RECORDS_H_
--- a/wire/address.cc
+++ b/wire/address.cc
@@ -89,4 +89,20 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void EnableKeepAlive(int fd) {
+  constexpr int kOn = 1;
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr unsigned kUnackedMilliseconds = 3000;
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof(kOn));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds,
+             sizeof(kIdleSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kIntervalSeconds,
+             sizeof(kIntervalSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedMilliseconds,
+             sizeof(kUnackedMilliseconds));
+}
+
 }  // namespace skylarkhoist
--- a/wire/address.h
+++ b/wire/address.h
@@ -35,6 +35,10 @@
 // Sends small segments at once. Failure only costs latency, so it is ignored.
 void DisableNagle(int fd);
 
+// Has the kernel end the connection within some seconds after the other end
+// has fallen silent. Failure only delays the discovery, so it is ignored.
+void EnableKeepAlive(int fd);
+
 }  // namespace skylarkhoist
 
 #endif  // WIRE_ADDRESS_H_
--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -3,15 +3,14 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include <http_parser.h>
 #include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <optional>
+#include <charconv>
 #include <utility>
 
 #include "wire/address.h"
@@ -24,28 +23,15 @@
     "ok",      "connect_refused", "connection_lost",
     "timeout", "malformed",       "too_large"};
 
-// The timer of the call ends it first; evhttp's own timeout is a second line.
-constexpr auto kTimeoutMargin = std::chrono::seconds(5);
-
-std::optional<evhttp_cmd_type> MethodOf(const std::string& name) {
-  constexpr std::array<std::pair<const char*, evhttp_cmd_type>, 7> kMethods = {
-      {{"GET", EVHTTP_REQ_GET},
-       {"POST", EVHTTP_REQ_POST},
-       {"HEAD", EVHTTP_REQ_HEAD},
-       {"PUT", EVHTTP_REQ_PUT},
-       {"DELETE", EVHTTP_REQ_DELETE},
-       {"OPTIONS", EVHTTP_REQ_OPTIONS},
-       {"PATCH", EVHTTP_REQ_PATCH}}};
-  for (const auto& [text, method] : kMethods) {
-    if (name == text)
-      return method;
-  }
-  return std::nullopt;
+constexpr std::array<std::string_view, 7> kMethods = {
+    "GET", "POST", "HEAD", "PUT", "DELETE", "OPTIONS", "PATCH"};
+
+bool IsKnownMethod(std::string_view method) {
+  return std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
 }
 
-bool MayHaveBody(evhttp_cmd_type method) {
-  return method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT ||
-         method == EVHTTP_REQ_PATCH;
+bool MayHaveBody(std::string_view method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
 // A path with a space or line break would change the request line.
@@ -55,46 +41,49 @@
   });
 }
 
-// True when the response tells in one way where its body ends.
-bool HasDelimitedBody(evhttp_request* request) {
-  const int status = evhttp_request_get_response_code(request);
-  // evhttp takes an interim response other than 100 for the whole; the real one
-  // would follow and be taken for that of the next call.
-  if (status < 200)
-    return false;
-  if (status == 204 || status == 304 ||
-      evhttp_request_get_command(request) == EVHTTP_REQ_HEAD)
-    return true;
-  const evkeyvalq* fields = evhttp_request_get_input_headers(request);
-  int ways = 0;
-  for (const evkeyval* each = fields->tqh_first; each != nullptr;
-       each = each->next.tqe_next) {
-    if (strcasecmp(each->key, "Content-Length") == 0 ||
-        strcasecmp(each->key, "Transfer-Encoding") == 0)
-      ++ways;
-  }
-  return ways == 1;
+bool HasLineBreak(std::string_view value) {
+  return value.find_first_of("\r\n") != std::string_view::npos;
 }
 
-bool IsConnected(evhttp_connection* connection) {
-  const int fd =
-      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-  socket_address peer;
-  peer.length = sizeof(peer.storage);
-  return fd >= 0 && getpeername(fd, reinterpret_cast<sockaddr*>(&peer.storage),
-                                &peer.length) == 0;
+std::string HeadOf(const http_request& request, const std::string& address) {
+  std::string head;
+  head.reserve(512);
+  head.append(request.method).append(" ").append(request.path);
+  head.append(" HTTP/1.1\r\n");
+  const std::string* host = request.headers.Find("Host");
+  head.append("Host: ").append(host == nullptr ? address : *host);
+  head.append("\r\n");
+  for (const auto& [name, value] : request.headers.items()) {
+    if (!IsFieldName(name) || IsConnectionField(name) || HasLineBreak(value) ||
+        strcasecmp(name.c_str(), "Host") == 0)
+      continue;
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (MayHaveBody(request.method)) {
+    head.append("Content-Length: ")
+        .append(std::to_string(request.body.size()))
+        .append("\r\n");
+  }
+  head.append("\r\n");
+  return head;
 }
 
-// An idle connection has nothing to read. Bytes after a response would be taken
-// for the response to the next call.
-bool IsUsable(evhttp_connection* connection) {
-  bufferevent* stream = evhttp_connection_get_bufferevent(connection);
-  const int fd = bufferevent_getfd(stream);
-  if (fd < 0 || evbuffer_get_length(bufferevent_get_input(stream)) > 0)
-    return false;
-  char byte = 0;
-  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
+// Reads the seconds of "timeout=5, max=100"; nothing when there are none.
+std::optional<duration> KeepAliveOf(const http_headers& headers) {
+  const std::string* field = headers.Find("Keep-Alive");
+  if (field == nullptr)
+    return std::nullopt;
+  constexpr std::string_view kName = "timeout=";
+  const size_t start = field->find(kName);
+  if (start == std::string::npos)
+    return std::nullopt;
+  int seconds = 0;
+  const char* first = field->data() + start + kName.size();
+  const auto [end, error] =
+      std::from_chars(first, field->data() + field->size(), seconds);
+  if (error != std::errc() || seconds < 0)
+    return std::nullopt;
+  return std::chrono::seconds(seconds);
 }
 
 target_result Failure(target_error error, bool may_have_run) {
@@ -107,25 +96,303 @@
 }  // namespace
 
 struct http_target_client::call {
-  http_target_client* client = nullptr;
   target_call_id id = 0;
-  std::string address;
-  evhttp_connection* connection = nullptr;
-  bool reused = false;
-  // evhttp_make_request is on the stack.
-  bool launching = false;
-  // Set by the error callback of evhttp, which runs before the other one.
-  std::optional<evhttp_request_error> error;
+  std::unique_ptr<connection> used;
+  std::string echo;
   timer_id timeout_timer = 0;
+  timer_id connect_timer = 0;
   timer_id finish_timer = 0;
   callback done;
 };
 
+// One connection to a target and the response that it reads.
+class http_target_client::connection {
+ public:
+  connection(http_target_client* client, std::string address)
+      : client_(client), address_(std::move(address)) {}
+
+  ~connection() {
+    if (stream_ != nullptr)
+      bufferevent_free(stream_);
+  }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+
+  // Returns false when no connection can be started.
+  bool Connect(const socket_address& target) {
+    stream_ = bufferevent_socket_new(client_->loop_->base(), -1,
+                                     BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        stream_,
+        [](bufferevent*, void* self) {
+          static_cast<connection*>(self)->OnReadable();
+        },
+        nullptr,
+        [](bufferevent*, short what, void* self) {
+          static_cast<connection*>(self)->OnEvent(what);
+        },
+        this);
+    // Responses are read even while the request is written: a target may answer
+    // before it has read the whole body.
+    bufferevent_enable(stream_, EV_READ | EV_WRITE);
+    if (bufferevent_socket_connect(stream_, target.get(),
+                                   static_cast<int>(target.length)) != 0)
+      return false;
+    const int fd = bufferevent_getfd(stream_);
+    if (fd >= 0) {
+      DisableNagle(fd);
+      EnableKeepAlive(fd);
+    }
+    return true;
+  }
+
+  void Send(target_call_id id, const http_request& request) {
+    call_ = id;
+    is_head_ = request.method == "HEAD";
+    StartResponse();
+    const std::string head = HeadOf(request, address_);
+    evbuffer* output = bufferevent_get_output(stream_);
+    evbuffer_add(output, head.data(), head.size());
+    evbuffer_add(output, request.body.data(), request.body.size());
+  }
+
+  // An idle connection has nothing to read. Bytes after a response would be
+  // taken for the response to the next call.
+  bool IsUsable() const {
+    const int fd = bufferevent_getfd(stream_);
+    if (fd < 0 || ended_ || client_->loop_->Now() >= idle_until_ ||
+        evbuffer_get_length(bufferevent_get_input(stream_)) > 0)
+      return false;
+    char byte = 0;
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  // Whether the connection may take another call after this response.
+  bool IsReusable() const {
+    return reusable_ && !ended_ &&
+           evbuffer_get_length(bufferevent_get_output(stream_)) == 0 &&
+           evbuffer_get_length(bufferevent_get_input(stream_)) == 0;
+  }
+
+  void SetIdle(time_point until) {
+    call_ = 0;
+    idle_until_ = until;
+  }
+
+  bool connected() const { return connected_; }
+  time_point idle_until() const { return idle_until_; }
+  const std::string& address() const { return address_; }
+  http_response& response() { return response_; }
+
+ private:
+  static connection* From(http_parser* parser) {
+    return static_cast<connection*>(parser->data);
+  }
+
+  static const http_parser_settings& ParserSettings() {
+    static const http_parser_settings kSettings = [] {
+      http_parser_settings settings;
+      http_parser_settings_init(&settings);
+      settings.on_header_field = [](http_parser* parser, const char* at,
+                                    size_t length) {
+        return From(parser)->OnFieldName({at, length});
+      };
+      settings.on_header_value = [](http_parser* parser, const char* at,
+                                    size_t length) {
+        return From(parser)->OnFieldValue({at, length});
+      };
+      settings.on_headers_complete = [](http_parser* parser) {
+        return From(parser)->OnHeadersComplete();
+      };
+      settings.on_body = [](http_parser* parser, const char* at,
+                            size_t length) {
+        return From(parser)->OnBody({at, length});
+      };
+      settings.on_message_complete = [](http_parser* parser) {
+        return From(parser)->OnMessageComplete();
+      };
+      return settings;
+    }();
+    return kSettings;
+  }
+
+  void StartResponse() {
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    response_ = http_response();
+    name_.clear();
+    value_.clear();
+    header_bytes_ = 0;
+    complete_ = false;
+    error_ = target_error::kNone;
+  }
+
+  int OnFieldName(std::string_view text) {
+    if (!value_.empty() || in_value_)
+      FinishField();
+    name_.append(text);
+    return CountHeaderBytes(text.size());
+  }
+
+  int OnFieldValue(std::string_view text) {
+    in_value_ = true;
+    value_.append(text);
+    return CountHeaderBytes(text.size());
+  }
+
+  int CountHeaderBytes(size_t count) {
+    header_bytes_ += count;
+    if (header_bytes_ <= client_->settings_.max_header_bytes)
+      return 0;
+    error_ = target_error::kTooLarge;
+    return 1;
+  }
+
+  void FinishField() {
+    fields_.Add(std::move(name_), std::move(value_));
+    name_.clear();
+    value_.clear();
+    in_value_ = false;
+  }
+
+  int OnHeadersComplete() {
+    if (!name_.empty())
+      FinishField();
+    response_.status = parser_.status_code;
+    response_.headers = std::exchange(fields_, http_headers());
+    if (parser_.status_code < 200 && parser_.status_code != 100) {
+      error_ = target_error::kMalformed;
+      return -1;
+    }
+    const uint64_t announced = parser_.content_length;
+    if (announced != UINT64_MAX &&
+        announced > client_->settings_.max_body_bytes && !is_head_) {
+      error_ = target_error::kTooLarge;
+      return -1;
+    }
+    return is_head_ ? 1 : 0;
+  }
+
+  int OnBody(std::string_view text) {
+    if (response_.body.size() + text.size() >
+        client_->settings_.max_body_bytes) {
+      error_ = target_error::kTooLarge;
+      return 1;
+    }
+    response_.body.append(text);
+    return 0;
+  }
+
+  int OnMessageComplete() {
+    reusable_ = reusable_ && http_should_keep_alive(&parser_) != 0;
+    if (parser_.status_code == 100)
+      return 0;
+    complete_ = true;
+    // What follows belongs to no request of this client.
+    http_parser_pause(&parser_, 1);
+    return 0;
+  }
+
+  // Parses what has arrived. Returns false when the call has ended, after which
+  // this object may be gone.
+  bool Parse() {
+    evbuffer* input = bufferevent_get_input(stream_);
+    while (evbuffer_get_length(input) > 0) {
+      const size_t size = evbuffer_get_contiguous_space(input);
+      const auto* bytes =
+          reinterpret_cast<const char*>(evbuffer_pullup(input, size));
+      const size_t parsed =
+          http_parser_execute(&parser_, &ParserSettings(), bytes, size);
+      evbuffer_drain(input, parsed);
+      if (complete_) {
+        if (!FinishResponse())
+          return false;
+      } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+        client_->OnFailure(call_, error_ == target_error::kNone
+                                      ? target_error::kMalformed
+                                      : error_);
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // Returns false when the response ended the call, and true when it belongs to
+  // another request.
+  bool FinishResponse() {
+    const std::string& name = client_->settings_.echo_field;
+    const std::string* echo =
+        name.empty() ? nullptr : response_.headers.Find(name);
+    const auto found = client_->calls_.find(call_);
+    if (echo != nullptr && *echo != found->second->echo) {
+      client_->foreign_responses_.Increment();
+      reusable_ = false;
+      StartResponse();
+      return true;
+    }
+    client_->OnResponse(call_);
+    return false;
+  }
+
+  void OnReadable() {
+    if (call_ == 0) {
+      ended_ = true;  // Bytes that no call asked for.
+      return;
+    }
+    Parse();
+  }
+
+  void OnEvent(short what) {
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      connected_ = true;
+      return;
+    }
+    ended_ = true;
+    if (call_ == 0)
+      return;
+    if (!connected_) {
+      client_->OnFailure(call_, target_error::kConnectRefused);
+      return;
+    }
+    // The rest of a response may have arrived together with the end.
+    if (!Parse())
+      return;
+    if ((what & BEV_EVENT_EOF) != 0) {
+      // Ends a response that has no length.
+      http_parser_execute(&parser_, &ParserSettings(), nullptr, 0);
+      if (complete_ && !FinishResponse())
+        return;
+    }
+    client_->OnFailure(call_, target_error::kConnectionLost);
+  }
+
+  http_target_client* client_;
+  std::string address_;
+  bufferevent* stream_ = nullptr;
+  bool connected_ = false;
+  bool ended_ = false;
+  bool reusable_ = true;
+  time_point idle_until_ = time_point::max();
+  // 0 while the connection is idle.
+  target_call_id call_ = 0;
+  bool is_head_ = false;
+  http_parser parser_{};
+  http_headers fields_;
+  std::string name_;
+  std::string value_;
+  bool in_value_ = false;
+  size_t header_bytes_ = 0;
+  bool complete_ = false;
+  target_error error_ = target_error::kNone;
+  http_response response_;
+};
+
 http_target_client::http_target_client(event_loop* loop,
                                        http_target_client_settings settings,
                                        metrics* counters)
     : loop_(loop),
-      settings_(settings),
+      settings_(std::move(settings)),
       own_metrics_(counters == nullptr ? std::make_unique<metrics>() : nullptr),
       connections_opened_((counters == nullptr ? *own_metrics_ : *counters)
                               .Counter("skylarkhoist_target_connections_total",
@@ -134,7 +401,11 @@
       connections_reused_((counters == nullptr ? *own_metrics_ : *counters)
                               .Counter("skylarkhoist_target_connections_total",
                                        "Connections used for calls to targets",
-                                       {{"kind", "reused"}})) {
+                                       {{"kind", "reused"}})),
+      foreign_responses_(
+          (counters == nullptr ? *own_metrics_ : *counters)
+              .Counter("skylarkhoist_target_foreign_responses_total",
+                       "Responses that belong to an earlier request")) {
   metrics& all = counters == nullptr ? *own_metrics_ : *counters;
   for (const char* label : kResultLabels) {
     results_.push_back(&all.Counter("skylarkhoist_target_calls_total",
@@ -144,19 +415,12 @@
 }
 
 http_target_client::~http_target_client() {
-  loop_->Cancel(garbage_timer_);
   loop_->Cancel(sweep_timer_);
   for (auto& [id, each] : calls_) {
     loop_->Cancel(each->timeout_timer);
+    loop_->Cancel(each->connect_timer);
     loop_->Cancel(each->finish_timer);
-    if (each->connection != nullptr)
-      evhttp_connection_free(each->connection);
-  }
-  for (auto& [address, pool] : idle_) {
-    for (const idle_connection& each : pool)
-      evhttp_connection_free(each.connection);
   }
-  FreeGarbage();
 }
 
 target_call_id http_target_client::Call(const std::string& address,
@@ -165,146 +429,74 @@
                                         callback done) {
   const target_call_id id = next_id_++;
   call& started = *calls_.emplace(id, std::make_unique<call>()).first->second;
-  started.client = this;
   started.id = id;
-  started.address = address;
   started.done = std::move(done);
-  const auto method = MethodOf(request.method);
-  const auto target = SplitAddress(address);
-  if (!method || !IsValidPath(request.path) ||
-      (!request.body.empty() && !MayHaveBody(*method))) {
+  if (!settings_.echo_field.empty()) {
+    if (const std::string* echo = request.headers.Find(settings_.echo_field))
+      started.echo = *echo;
+  }
+  if (!IsKnownMethod(request.method) || !IsValidPath(request.path) ||
+      (!request.body.empty() && !MayHaveBody(request.method))) {
     FinishLater(id, Failure(target_error::kMalformed, false));
     return id;
   }
+  const auto target = ParseAddress(address);
   if (!target) {
     FinishLater(id, Failure(target_error::kConnectRefused, false));
     return id;
   }
-  started.connection = TakeIdle(address);
-  started.reused = started.connection != nullptr;
-  if (started.reused) {
+  started.used = TakeIdle(address);
+  if (started.used != nullptr) {
     connections_reused_.Increment();
   } else {
     connections_opened_.Increment();
-    started.connection = evhttp_connection_base_new(
-        loop_->base(), nullptr, target->host.c_str(), target->port);
-    evhttp_connection_set_max_headers_size(
-        started.connection,
-        static_cast<ev_ssize_t>(settings_.max_header_bytes));
-    evhttp_connection_set_max_body_size(
-        started.connection, static_cast<ev_ssize_t>(settings_.max_body_bytes));
-    evhttp_connection_set_retries(started.connection, 0);
-  }
-  const auto seconds =
-      std::chrono::duration_cast<std::chrono::seconds>(timeout + kTimeoutMargin)
-          .count();
-  const timeval limit{seconds, 0};
-  evhttp_connection_set_timeout_tv(started.connection, &limit);
+    started.used = std::make_unique<connection>(this, address);
+    if (!started.used->Connect(*target)) {
+      FinishLater(id, Failure(target_error::kConnectRefused, false));
+      return id;
+    }
+    if (settings_.connect_timeout < timeout) {
+      started.connect_timer =
+          loop_->RunAfter(settings_.connect_timeout, [this, id] {
+            call& late = *calls_.at(id);
+            late.connect_timer = 0;
+            if (!late.used->connected())
+              OnFailure(id, target_error::kConnectRefused);
+          });
+    }
+  }
   started.timeout_timer = loop_->RunAfter(timeout, [this, id] {
-    call& late = *calls_.at(id);
-    late.timeout_timer = 0;
-    const bool reached = late.reused || IsConnected(late.connection);
-    // Frees the request without running its callbacks.
-    evhttp_connection_free(std::exchange(late.connection, nullptr));
-    Finish(id, Failure(target_error::kTimeout, reached));
+    calls_.at(id)->timeout_timer = 0;
+    OnFailure(id, target_error::kTimeout);
   });
-  Launch(started, request);
+  started.used->Send(id, request);
   return id;
 }
 
-void http_target_client::Launch(call& started, const http_request& request) {
-  evhttp_request* sent = evhttp_request_new(
-      [](evhttp_request* ended, void* argument) {
-        auto* self = static_cast<call*>(argument);
-        self->client->OnResponse(*self, ended);
-      },
-      &started);
-  evhttp_request_set_error_cb(sent,
-                              [](evhttp_request_error error, void* argument) {
-                                static_cast<call*>(argument)->error = error;
-                              });
-  evkeyvalq* fields = evhttp_request_get_output_headers(sent);
-  evhttp_add_header(fields, "Host", started.address.c_str());
-  for (const auto& [name, value] : request.headers.items()) {
-    if (IsFieldName(name) && !IsConnectionField(name) &&
-        strcasecmp(name.c_str(), "Host") != 0)
-      evhttp_add_header(fields, name.c_str(), value.c_str());
-  }
-  // evhttp adds the length by itself for POST and PUT only.
-  if (MayHaveBody(*MethodOf(request.method))) {
-    evhttp_add_header(fields, "Content-Length",
-                      std::to_string(request.body.size()).c_str());
-  }
-  evbuffer_add(evhttp_request_get_output_buffer(sent), request.body.data(),
-               request.body.size());
-  const target_call_id id = started.id;
-  started.launching = true;
-  const int failed =
-      evhttp_make_request(started.connection, sent, *MethodOf(request.method),
-                          request.path.c_str());
-  started.launching = false;
-  if (failed != 0 && started.finish_timer == 0) {
-    evhttp_connection_free(std::exchange(started.connection, nullptr));
-    FinishLater(id, Failure(target_error::kConnectRefused, started.reused));
-    return;
+void http_target_client::OnResponse(target_call_id id) {
+  call& ended = *calls_.at(id);
+  target_result result;
+  result.response = std::move(ended.used->response());
+  std::unique_ptr<connection> used = std::move(ended.used);
+  if (used->IsReusable()) {
+    const duration idle = std::min(
+        settings_.max_idle,
+        KeepAliveOf(result.response.headers).value_or(duration::max()));
+    used->SetIdle(loop_->Now() + idle);
+    KeepIdle(std::move(used));
   }
-  if (!started.reused && started.connection != nullptr) {
-    const int fd = bufferevent_getfd(
-        evhttp_connection_get_bufferevent(started.connection));
-    if (fd >= 0)
-      DisableNagle(fd);
+  http_headers passed_on;
+  for (const auto& [name, value] : result.response.headers.items()) {
+    if (!IsConnectionField(name))
+      passed_on.Add(name, value);
   }
+  result.response.headers = std::move(passed_on);
+  Finish(id, result);
 }
 
-void http_target_client::OnResponse(call& ended, evhttp_request* request) {
-  evhttp_connection* connection = std::exchange(ended.connection, nullptr);
-  target_result result;
-  bool keep = false;
-  if (request == nullptr || ended.error) {
-    switch (ended.error.value_or(EVREQ_HTTP_EOF)) {
-      case EVREQ_HTTP_TIMEOUT:
-        result.error = target_error::kTimeout;
-        break;
-      case EVREQ_HTTP_INVALID_HEADER:
-        result.error = target_error::kMalformed;
-        break;
-      case EVREQ_HTTP_DATA_TOO_LONG:
-        result.error = target_error::kTooLarge;
-        break;
-      default:
-        result.error = target_error::kConnectionLost;
-        break;
-    }
-  } else if (evhttp_request_get_response_code(request) == 0) {
-    // evhttp reports a failed connect by an empty response. A reused
-    // connection that was closed meanwhile is connected again by evhttp, and
-    // nothing was sent on the old one.
-    result.error = target_error::kConnectRefused;
-    result.may_have_run = false;
-  } else if (!HasDelimitedBody(request)) {
-    result.error = target_error::kMalformed;
-  } else {
-    result.response.status = evhttp_request_get_response_code(request);
-    const evkeyvalq* fields = evhttp_request_get_input_headers(request);
-    result.response.headers = FieldsFrom(fields);
-    evbuffer* body = evhttp_request_get_input_buffer(request);
-    result.response.body.resize(evbuffer_get_length(body));
-    evbuffer_remove(body, result.response.body.data(),
-                    result.response.body.size());
-    const char* length = evhttp_find_header(fields, "Content-Length");
-    if (length != nullptr &&
-        evhttp_request_get_command(request) == EVHTTP_REQ_HEAD)
-      result.response.headers.Add("Content-Length", length);
-    keep = true;
-  }
-  if (keep)
-    KeepIdle(ended.address, connection);
-  else
-    FreeLater(connection);
-  if (ended.launching)
-    FinishLater(ended.id, result);
-  else
-    Finish(ended.id, result);
+void http_target_client::OnFailure(target_call_id id, target_error error) {
+  const bool may_have_run = calls_.at(id)->used->connected();
+  Finish(id, Failure(error, may_have_run));
 }
 
 void http_target_client::Finish(target_call_id id,
@@ -313,6 +505,7 @@
   const std::unique_ptr<call> ended = std::move(found->second);
   calls_.erase(found);
   loop_->Cancel(ended->timeout_timer);
+  loop_->Cancel(ended->connect_timer);
   results_[static_cast<size_t>(result.error)]->Increment();
   ended->done(result);
 }
@@ -320,7 +513,6 @@
 void http_target_client::FinishLater(target_call_id id,
                                      const target_result& result) {
   call& ended = *calls_.at(id);
-  loop_->Cancel(std::exchange(ended.timeout_timer, 0));
   ended.finish_timer = loop_->RunAfter(
       duration::zero(), [this, id, result] { Finish(id, result); });
 }
@@ -329,85 +521,58 @@
   const auto found = calls_.find(id);
   if (found == calls_.end())
     return;
-  const std::unique_ptr<call> ended = std::move(found->second);
+  loop_->Cancel(found->second->timeout_timer);
+  loop_->Cancel(found->second->connect_timer);
+  loop_->Cancel(found->second->finish_timer);
   calls_.erase(found);
-  loop_->Cancel(ended->timeout_timer);
-  loop_->Cancel(ended->finish_timer);
-  if (ended->connection != nullptr)
-    evhttp_connection_free(ended->connection);
 }
 
-evhttp_connection* http_target_client::TakeIdle(const std::string& address) {
+std::unique_ptr<http_target_client::connection> http_target_client::TakeIdle(
+    const std::string& address) {
   const auto found = idle_.find(address);
   if (found == idle_.end())
     return nullptr;
-  std::vector<idle_connection>& pool = found->second;
-  const time_point oldest = loop_->Now() - settings_.max_idle;
-  evhttp_connection* taken = nullptr;
-  // The newest is at the end.
+  auto& pool = found->second;
+  std::unique_ptr<connection> taken;
   while (!pool.empty() && taken == nullptr) {
-    const idle_connection last = pool.back();
+    std::unique_ptr<connection> last = std::move(pool.back());
     pool.pop_back();
-    if (last.since >= oldest && IsUsable(last.connection))
-      taken = last.connection;
-    else
-      FreeLater(last.connection);
+    if (last->IsUsable())
+      taken = std::move(last);
   }
   if (pool.empty())
     idle_.erase(found);
   return taken;
 }
 
-void http_target_client::KeepIdle(const std::string& address,
-                                  evhttp_connection* connection) {
-  std::vector<idle_connection>& pool = idle_[address];
-  // evhttp has closed the socket when the target asked for that.
-  if (!IsUsable(connection) || pool.size() >= settings_.max_idle_per_target) {
-    FreeLater(connection);
+void http_target_client::KeepIdle(std::unique_ptr<connection> kept) {
+  auto& pool = idle_[kept->address()];
+  if (pool.size() >= settings_.max_idle_per_target)
     return;
-  }
-  pool.push_back({connection, loop_->Now()});
-  if (sweep_timer_ == 0) {
-    sweep_timer_ = loop_->RunAfter(settings_.max_idle, [this] {
-      sweep_timer_ = 0;
-      Sweep();
-    });
-  }
+  pool.push_back(std::move(kept));
+  ScheduleSweep();
+}
+
+void http_target_client::ScheduleSweep() {
+  if (sweep_timer_ != 0 || idle_.empty())
+    return;
+  sweep_timer_ = loop_->RunAfter(settings_.max_idle, [this] {
+    sweep_timer_ = 0;
+    Sweep();
+  });
 }
 
 void http_target_client::Sweep() {
-  const time_point oldest = loop_->Now() - settings_.max_idle;
   for (auto position = idle_.begin(); position != idle_.end();) {
-    std::vector<idle_connection>& pool = position->second;
-    const auto kept = std::find_if(
-        pool.begin(), pool.end(),
-        [oldest](const idle_connection& each) { return each.since >= oldest; });
-    for (auto each = pool.begin(); each != kept; ++each)
-      FreeLater(each->connection);
-    pool.erase(pool.begin(), kept);
+    auto& pool = position->second;
+    pool.erase(std::remove_if(pool.begin(), pool.end(),
+                              [](const std::unique_ptr<connection>& each) {
+                                return !each->IsUsable();
+                              }),
+               pool.end());
     position = pool.empty() ? idle_.erase(position) : std::next(position);
   }
-  if (!idle_.empty()) {
-    sweep_timer_ = loop_->RunAfter(settings_.max_idle, [this] {
-      sweep_timer_ = 0;
-      Sweep();
-    });
-  }
-}
-
-void http_target_client::FreeLater(evhttp_connection* connection) {
-  garbage_.push_back(connection);
-  if (garbage_timer_ == 0) {
-    garbage_timer_ = loop_->RunAfter(duration::zero(), [this] {
-      garbage_timer_ = 0;
-      FreeGarbage();
-    });
-  }
-}
-
-void http_target_client::FreeGarbage() {
-  for (evhttp_connection* each : std::exchange(garbage_, {}))
-    evhttp_connection_free(each);
+  ScheduleSweep();
 }
 
 size_t http_target_client::idle_connections() const {
--- a/wire/http_target_client.h
+++ b/wire/http_target_client.h
@@ -11,28 +11,33 @@
 #include "kernel/metrics.h"
 #include "wire/target_client.h"
 
-struct evhttp_connection;
-struct evhttp_request;
-
 namespace skylarkhoist {
 
 struct http_target_client_settings {
   // A connection that was idle for longer is not used again, because the
   // target may be about to close it. A request that meets the close has an
-  // unknown outcome.
+  // unknown outcome. A shorter time in the target's Keep-Alive field goes
+  // first.
   duration max_idle = std::chrono::seconds(1);
+  // A connection that is not made within this time counts as refused.
+  duration connect_timeout = std::chrono::seconds(1);
   size_t max_idle_per_target = 256;
   size_t max_header_bytes = 64U << 10U;
   size_t max_body_bytes = 8U << 20U;
+  // Name of a header field that targets copy from the request to the response.
+  // A response with another value belongs to an earlier request and is passed
+  // over. Empty: responses are taken in order.
+  std::string echo_field;
 };
 
-// HTTP/1.1 client on evhttp, with one call at a time on a connection and a pool
-// of idle connections for each target.
+// HTTP/1.1 client with one call at a time on a connection and a pool of idle
+// connections for each target.
 //
 // `may_have_run` is false exactly when no connection was made or the request
 // cannot be sent as HTTP. A response without Content-Length or chunked coding
-// is kMalformed, because its end cannot be told from a crash of the target;
-// so is one with both or with several lengths.
+// ends with its connection; it is lost when that ends by a reset. A connection
+// is used again only if the whole request was written and nothing followed the
+// response.
 class http_target_client : public target_client {
  public:
   // `counters` may be null for clients that no one observes.
@@ -54,35 +59,30 @@
 
  private:
   struct call;
-  struct idle_connection {
-    evhttp_connection* connection;
-    time_point since;
-  };
+  class connection;
 
-  evhttp_connection* TakeIdle(const std::string& address);
-  void Launch(call& started, const http_request& request);
-  void OnResponse(call& ended, evhttp_request* request);
+  std::unique_ptr<connection> TakeIdle(const std::string& address);
+  void KeepIdle(std::unique_ptr<connection> kept);
+  void OnResponse(target_call_id id);
+  void OnFailure(target_call_id id, target_error error);
   void Finish(target_call_id id, const target_result& result);
   void FinishLater(target_call_id id, const target_result& result);
-  void KeepIdle(const std::string& address, evhttp_connection* connection);
-  void FreeLater(evhttp_connection* connection);
-  void FreeGarbage();
   void Sweep();
+  void ScheduleSweep();
 
   event_loop* loop_;
   http_target_client_settings settings_;
   target_call_id next_id_ = 1;
   std::unordered_map<target_call_id, std::unique_ptr<call>> calls_;
-  std::unordered_map<std::string, std::vector<idle_connection>> idle_;
-  // evhttp still uses a connection after it has reported a failure on it, so
-  // connections are freed in the next round.
-  std::vector<evhttp_connection*> garbage_;
-  timer_id garbage_timer_ = 0;
+  // The connection that was used last is at the end.
+  std::unordered_map<std::string, std::vector<std::unique_ptr<connection>>>
+      idle_;
   timer_id sweep_timer_ = 0;
   std::unique_ptr<metrics> own_metrics_;
 
   prometheus::Counter& connections_opened_;
   prometheus::Counter& connections_reused_;
+  prometheus::Counter& foreign_responses_;
   std::vector<prometheus::Counter*> results_;
 };
 
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -134,6 +134,22 @@
 struct suspectBuilder;
 struct suspectT;
 
+struct token_want;
+struct token_wantBuilder;
+struct token_wantT;
+
+struct token_request;
+struct token_requestBuilder;
+struct token_requestT;
+
+struct token_grant_item;
+struct token_grant_itemBuilder;
+struct token_grant_itemT;
+
+struct token_grant;
+struct token_grantBuilder;
+struct token_grantT;
+
 struct envelope;
 struct envelopeBuilder;
 struct envelopeT;
@@ -198,6 +214,14 @@
 bool operator!=(const dedup_syncT &lhs, const dedup_syncT &rhs);
 bool operator==(const suspectT &lhs, const suspectT &rhs);
 bool operator!=(const suspectT &lhs, const suspectT &rhs);
+bool operator==(const token_wantT &lhs, const token_wantT &rhs);
+bool operator!=(const token_wantT &lhs, const token_wantT &rhs);
+bool operator==(const token_requestT &lhs, const token_requestT &rhs);
+bool operator!=(const token_requestT &lhs, const token_requestT &rhs);
+bool operator==(const token_grant_itemT &lhs, const token_grant_itemT &rhs);
+bool operator!=(const token_grant_itemT &lhs, const token_grant_itemT &rhs);
+bool operator==(const token_grantT &lhs, const token_grantT &rhs);
+bool operator!=(const token_grantT &lhs, const token_grantT &rhs);
 bool operator==(const envelopeT &lhs, const envelopeT &rhs);
 bool operator!=(const envelopeT &lhs, const envelopeT &rhs);
 
@@ -436,11 +460,13 @@
   dedup_result = 18,
   dedup_sync = 19,
   suspect = 20,
+  token_request = 21,
+  token_grant = 22,
   MIN = NONE,
-  MAX = suspect
+  MAX = token_grant
 };
 
-inline const payload (&EnumValuespayload())[21] {
+inline const payload (&EnumValuespayload())[23] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -462,13 +488,15 @@
     payload::dedup_verdict,
     payload::dedup_result,
     payload::dedup_sync,
-    payload::suspect
+    payload::suspect,
+    payload::token_request,
+    payload::token_grant
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[22] = {
+  static const char * const names[24] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -490,13 +518,15 @@
     "dedup_result",
     "dedup_sync",
     "suspect",
+    "token_request",
+    "token_grant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::suspect)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::token_grant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -585,6 +615,14 @@
   static const payload enum_value = payload::suspect;
 };
 
+template<> struct payloadTraits<skylarkhoist::fbs::token_request> {
+  static const payload enum_value = payload::token_request;
+};
+
+template<> struct payloadTraits<skylarkhoist::fbs::token_grant> {
+  static const payload enum_value = payload::token_grant;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -669,6 +707,14 @@
   static const payload enum_value = payload::suspect;
 };
 
+template<> struct payloadUnionTraits<skylarkhoist::fbs::token_requestT> {
+  static const payload enum_value = payload::token_request;
+};
+
+template<> struct payloadUnionTraits<skylarkhoist::fbs::token_grantT> {
+  static const payload enum_value = payload::token_grant;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -859,6 +905,22 @@
     return type == payload::suspect ?
       reinterpret_cast<const skylarkhoist::fbs::suspectT *>(value) : nullptr;
   }
+  skylarkhoist::fbs::token_requestT *Astoken_request() {
+    return type == payload::token_request ?
+      reinterpret_cast<skylarkhoist::fbs::token_requestT *>(value) : nullptr;
+  }
+  const skylarkhoist::fbs::token_requestT *Astoken_request() const {
+    return type == payload::token_request ?
+      reinterpret_cast<const skylarkhoist::fbs::token_requestT *>(value) : nullptr;
+  }
+  skylarkhoist::fbs::token_grantT *Astoken_grant() {
+    return type == payload::token_grant ?
+      reinterpret_cast<skylarkhoist::fbs::token_grantT *>(value) : nullptr;
+  }
+  const skylarkhoist::fbs::token_grantT *Astoken_grant() const {
+    return type == payload::token_grant ?
+      reinterpret_cast<const skylarkhoist::fbs::token_grantT *>(value) : nullptr;
+  }
 };
 
 
@@ -948,6 +1010,14 @@
       return *(reinterpret_cast<const skylarkhoist::fbs::suspectT *>(lhs.value)) ==
              *(reinterpret_cast<const skylarkhoist::fbs::suspectT *>(rhs.value));
     }
+    case payload::token_request: {
+      return *(reinterpret_cast<const skylarkhoist::fbs::token_requestT *>(lhs.value)) ==
+             *(reinterpret_cast<const skylarkhoist::fbs::token_requestT *>(rhs.value));
+    }
+    case payload::token_grant: {
+      return *(reinterpret_cast<const skylarkhoist::fbs::token_grantT *>(lhs.value)) ==
+             *(reinterpret_cast<const skylarkhoist::fbs::token_grantT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -1087,6 +1157,9 @@
   typedef load_level TableType;
   std::string service{};
   uint32_t permille = 0;
+  uint32_t run_us = 0;
+  bool cold = false;
+  uint32_t pressure = 0;
 };
 
 struct load_level FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1095,7 +1168,10 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
-    VT_PERMILLE = 6
+    VT_PERMILLE = 6,
+    VT_RUN_US = 8,
+    VT_COLD = 10,
+    VT_PRESSURE = 12
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1103,11 +1179,23 @@
   uint32_t permille() const {
     return GetField<uint32_t>(VT_PERMILLE, 0);
   }
+  uint32_t run_us() const {
+    return GetField<uint32_t>(VT_RUN_US, 0);
+  }
+  bool cold() const {
+    return GetField<uint8_t>(VT_COLD, 0) != 0;
+  }
+  uint32_t pressure() const {
+    return GetField<uint32_t>(VT_PRESSURE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<uint32_t>(verifier, VT_PERMILLE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RUN_US, 4) &&
+           VerifyField<uint8_t>(verifier, VT_COLD, 1) &&
+           VerifyField<uint32_t>(verifier, VT_PRESSURE, 4) &&
            verifier.EndTable();
   }
   load_levelT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1125,6 +1213,15 @@
   void add_permille(uint32_t permille) {
     fbb_.AddElement<uint32_t>(load_level::VT_PERMILLE, permille, 0);
   }
+  void add_run_us(uint32_t run_us) {
+    fbb_.AddElement<uint32_t>(load_level::VT_RUN_US, run_us, 0);
+  }
+  void add_cold(bool cold) {
+    fbb_.AddElement<uint8_t>(load_level::VT_COLD, static_cast<uint8_t>(cold), 0);
+  }
+  void add_pressure(uint32_t pressure) {
+    fbb_.AddElement<uint32_t>(load_level::VT_PRESSURE, pressure, 0);
+  }
   explicit load_levelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1139,10 +1236,16 @@
 inline flatbuffers::Offset<load_level> Createload_level(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> service = 0,
-    uint32_t permille = 0) {
+    uint32_t permille = 0,
+    uint32_t run_us = 0,
+    bool cold = false,
+    uint32_t pressure = 0) {
   load_levelBuilder builder_(_fbb);
+  builder_.add_pressure(pressure);
+  builder_.add_run_us(run_us);
   builder_.add_permille(permille);
   builder_.add_service(service);
+  builder_.add_cold(cold);
   return builder_.Finish();
 }
 
@@ -1154,12 +1257,18 @@
 inline flatbuffers::Offset<load_level> Createload_levelDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
-    uint32_t permille = 0) {
+    uint32_t permille = 0,
+    uint32_t run_us = 0,
+    bool cold = false,
+    uint32_t pressure = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return skylarkhoist::fbs::Createload_level(
       _fbb,
       service__,
-      permille);
+      permille,
+      run_us,
+      cold,
+      pressure);
 }
 
 flatbuffers::Offset<load_level> Createload_level(flatbuffers::FlatBufferBuilder &_fbb, const load_levelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1426,6 +1535,9 @@
   std::vector<std::unique_ptr<skylarkhoist::fbs::headerT>> headers{};
   std::vector<uint8_t> body{};
   uint64_t body_checksum = 0;
+  std::string caller_service{};
+  std::string route{};
+  uint32_t target_left_ms = 0;
   call_requestT() = default;
   call_requestT(const call_requestT &o);
   call_requestT(call_requestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1453,7 +1565,10 @@
     VT_PATH = 30,
     VT_HEADERS = 32,
     VT_BODY = 34,
-    VT_BODY_CHECKSUM = 36
+    VT_BODY_CHECKSUM = 36,
+    VT_CALLER_SERVICE = 38,
+    VT_ROUTE = 40,
+    VT_TARGET_LEFT_MS = 42
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -1506,6 +1621,15 @@
   uint64_t body_checksum() const {
     return GetField<uint64_t>(VT_BODY_CHECKSUM, 0);
   }
+  const flatbuffers::String *caller_service() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLER_SERVICE);
+  }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  uint32_t target_left_ms() const {
+    return GetField<uint32_t>(VT_TARGET_LEFT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -1533,6 +1657,11 @@
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
            VerifyField<uint64_t>(verifier, VT_BODY_CHECKSUM, 8) &&
+           VerifyOffset(verifier, VT_CALLER_SERVICE) &&
+           verifier.VerifyString(caller_service()) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint32_t>(verifier, VT_TARGET_LEFT_MS, 4) &&
            verifier.EndTable();
   }
   call_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1595,6 +1724,15 @@
   void add_body_checksum(uint64_t body_checksum) {
     fbb_.AddElement<uint64_t>(call_request::VT_BODY_CHECKSUM, body_checksum, 0);
   }
+  void add_caller_service(flatbuffers::Offset<flatbuffers::String> caller_service) {
+    fbb_.AddOffset(call_request::VT_CALLER_SERVICE, caller_service);
+  }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(call_request::VT_ROUTE, route);
+  }
+  void add_target_left_ms(uint32_t target_left_ms) {
+    fbb_.AddElement<uint32_t>(call_request::VT_TARGET_LEFT_MS, target_left_ms, 0);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1624,10 +1762,16 @@
     flatbuffers::Offset<flatbuffers::String> path = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::header>>> headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
-    uint64_t body_checksum = 0) {
+    uint64_t body_checksum = 0,
+    flatbuffers::Offset<flatbuffers::String> caller_service = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint32_t target_left_ms = 0) {
   call_requestBuilder builder_(_fbb);
   builder_.add_body_checksum(body_checksum);
   builder_.add_fingerprint(fingerprint);
+  builder_.add_target_left_ms(target_left_ms);
+  builder_.add_route(route);
+  builder_.add_caller_service(caller_service);
   builder_.add_body(body);
   builder_.add_headers(headers);
   builder_.add_path(path);
@@ -1669,7 +1813,10 @@
     const char *path = nullptr,
     const std::vector<flatbuffers::Offset<skylarkhoist::fbs::header>> *headers = nullptr,
     const std::vector<uint8_t> *body = nullptr,
-    uint64_t body_checksum = 0) {
+    uint64_t body_checksum = 0,
+    const char *caller_service = nullptr,
+    const char *route = nullptr,
+    uint32_t target_left_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto key_id__ = key_id ? _fbb.CreateString(key_id) : 0;
@@ -1677,6 +1824,8 @@
   auto path__ = path ? _fbb.CreateString(path) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
+  auto route__ = route ? _fbb.CreateString(route) : 0;
   return skylarkhoist::fbs::Createcall_request(
       _fbb,
       id,
@@ -1695,7 +1844,10 @@
       path__,
       headers__,
       body__,
-      body_checksum);
+      body_checksum,
+      caller_service__,
+      route__,
+      target_left_ms);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4838,6 +4990,392 @@
 
 flatbuffers::Offset<suspect> Createsuspect(flatbuffers::FlatBufferBuilder &_fbb, const suspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct token_wantT : public flatbuffers::NativeTable {
+  typedef token_want TableType;
+  std::string customer{};
+  uint64_t wanted = 0;
+  uint64_t used = 0;
+  uint64_t rate = 0;
+};
+
+struct token_want FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_wantT NativeTableType;
+  typedef token_wantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CUSTOMER = 4,
+    VT_WANTED = 6,
+    VT_USED = 8,
+    VT_RATE = 10
+  };
+  const flatbuffers::String *customer() const {
+    return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
+  }
+  uint64_t wanted() const {
+    return GetField<uint64_t>(VT_WANTED, 0);
+  }
+  uint64_t used() const {
+    return GetField<uint64_t>(VT_USED, 0);
+  }
+  uint64_t rate() const {
+    return GetField<uint64_t>(VT_RATE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CUSTOMER) &&
+           verifier.VerifyString(customer()) &&
+           VerifyField<uint64_t>(verifier, VT_WANTED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_USED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RATE, 8) &&
+           verifier.EndTable();
+  }
+  token_wantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_wantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_want> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_wantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_wantBuilder {
+  typedef token_want Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
+    fbb_.AddOffset(token_want::VT_CUSTOMER, customer);
+  }
+  void add_wanted(uint64_t wanted) {
+    fbb_.AddElement<uint64_t>(token_want::VT_WANTED, wanted, 0);
+  }
+  void add_used(uint64_t used) {
+    fbb_.AddElement<uint64_t>(token_want::VT_USED, used, 0);
+  }
+  void add_rate(uint64_t rate) {
+    fbb_.AddElement<uint64_t>(token_want::VT_RATE, rate, 0);
+  }
+  explicit token_wantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<token_want> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_want>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<token_want> Createtoken_want(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> customer = 0,
+    uint64_t wanted = 0,
+    uint64_t used = 0,
+    uint64_t rate = 0) {
+  token_wantBuilder builder_(_fbb);
+  builder_.add_rate(rate);
+  builder_.add_used(used);
+  builder_.add_wanted(wanted);
+  builder_.add_customer(customer);
+  return builder_.Finish();
+}
+
+struct token_want::Traits {
+  using type = token_want;
+  static auto constexpr Create = Createtoken_want;
+};
+
+inline flatbuffers::Offset<token_want> Createtoken_wantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *customer = nullptr,
+    uint64_t wanted = 0,
+    uint64_t used = 0,
+    uint64_t rate = 0) {
+  auto customer__ = customer ? _fbb.CreateString(customer) : 0;
+  return skylarkhoist::fbs::Createtoken_want(
+      _fbb,
+      customer__,
+      wanted,
+      used,
+      rate);
+}
+
+flatbuffers::Offset<token_want> Createtoken_want(flatbuffers::FlatBufferBuilder &_fbb, const token_wantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct token_requestT : public flatbuffers::NativeTable {
+  typedef token_request TableType;
+  uint64_t round = 0;
+  std::vector<std::unique_ptr<skylarkhoist::fbs::token_wantT>> wants{};
+  token_requestT() = default;
+  token_requestT(const token_requestT &o);
+  token_requestT(token_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  token_requestT &operator=(token_requestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct token_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_requestT NativeTableType;
+  typedef token_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUND = 4,
+    VT_WANTS = 6
+  };
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::token_want>> *wants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::token_want>> *>(VT_WANTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyOffset(verifier, VT_WANTS) &&
+           verifier.VerifyVector(wants()) &&
+           verifier.VerifyVectorOfTables(wants()) &&
+           verifier.EndTable();
+  }
+  token_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_requestBuilder {
+  typedef token_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(token_request::VT_ROUND, round, 0);
+  }
+  void add_wants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::token_want>>> wants) {
+    fbb_.AddOffset(token_request::VT_WANTS, wants);
+  }
+  explicit token_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<token_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<token_request> Createtoken_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t round = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::token_want>>> wants = 0) {
+  token_requestBuilder builder_(_fbb);
+  builder_.add_round(round);
+  builder_.add_wants(wants);
+  return builder_.Finish();
+}
+
+struct token_request::Traits {
+  using type = token_request;
+  static auto constexpr Create = Createtoken_request;
+};
+
+inline flatbuffers::Offset<token_request> Createtoken_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t round = 0,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::token_want>> *wants = nullptr) {
+  auto wants__ = wants ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::token_want>>(*wants) : 0;
+  return skylarkhoist::fbs::Createtoken_request(
+      _fbb,
+      round,
+      wants__);
+}
+
+flatbuffers::Offset<token_request> Createtoken_request(flatbuffers::FlatBufferBuilder &_fbb, const token_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct token_grant_itemT : public flatbuffers::NativeTable {
+  typedef token_grant_item TableType;
+  std::string customer{};
+  uint64_t granted = 0;
+  bool short_ = false;
+};
+
+struct token_grant_item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_grant_itemT NativeTableType;
+  typedef token_grant_itemBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CUSTOMER = 4,
+    VT_GRANTED = 6,
+    VT_SHORT_ = 8
+  };
+  const flatbuffers::String *customer() const {
+    return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
+  }
+  uint64_t granted() const {
+    return GetField<uint64_t>(VT_GRANTED, 0);
+  }
+  bool short_() const {
+    return GetField<uint8_t>(VT_SHORT_, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CUSTOMER) &&
+           verifier.VerifyString(customer()) &&
+           VerifyField<uint64_t>(verifier, VT_GRANTED, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SHORT_, 1) &&
+           verifier.EndTable();
+  }
+  token_grant_itemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_grant_itemT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_grant_item> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_itemT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_grant_itemBuilder {
+  typedef token_grant_item Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_customer(flatbuffers::Offset<flatbuffers::String> customer) {
+    fbb_.AddOffset(token_grant_item::VT_CUSTOMER, customer);
+  }
+  void add_granted(uint64_t granted) {
+    fbb_.AddElement<uint64_t>(token_grant_item::VT_GRANTED, granted, 0);
+  }
+  void add_short_(bool short_) {
+    fbb_.AddElement<uint8_t>(token_grant_item::VT_SHORT_, static_cast<uint8_t>(short_), 0);
+  }
+  explicit token_grant_itemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<token_grant_item> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_grant_item>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<token_grant_item> Createtoken_grant_item(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> customer = 0,
+    uint64_t granted = 0,
+    bool short_ = false) {
+  token_grant_itemBuilder builder_(_fbb);
+  builder_.add_granted(granted);
+  builder_.add_customer(customer);
+  builder_.add_short_(short_);
+  return builder_.Finish();
+}
+
+struct token_grant_item::Traits {
+  using type = token_grant_item;
+  static auto constexpr Create = Createtoken_grant_item;
+};
+
+inline flatbuffers::Offset<token_grant_item> Createtoken_grant_itemDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *customer = nullptr,
+    uint64_t granted = 0,
+    bool short_ = false) {
+  auto customer__ = customer ? _fbb.CreateString(customer) : 0;
+  return skylarkhoist::fbs::Createtoken_grant_item(
+      _fbb,
+      customer__,
+      granted,
+      short_);
+}
+
+flatbuffers::Offset<token_grant_item> Createtoken_grant_item(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_itemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct token_grantT : public flatbuffers::NativeTable {
+  typedef token_grant TableType;
+  uint64_t round = 0;
+  bool not_owner = false;
+  std::vector<std::unique_ptr<skylarkhoist::fbs::token_grant_itemT>> grants{};
+  token_grantT() = default;
+  token_grantT(const token_grantT &o);
+  token_grantT(token_grantT&&) FLATBUFFERS_NOEXCEPT = default;
+  token_grantT &operator=(token_grantT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct token_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef token_grantT NativeTableType;
+  typedef token_grantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUND = 4,
+    VT_NOT_OWNER = 6,
+    VT_GRANTS = 8
+  };
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  bool not_owner() const {
+    return GetField<uint8_t>(VT_NOT_OWNER, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::token_grant_item>> *grants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::token_grant_item>> *>(VT_GRANTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint8_t>(verifier, VT_NOT_OWNER, 1) &&
+           VerifyOffset(verifier, VT_GRANTS) &&
+           verifier.VerifyVector(grants()) &&
+           verifier.VerifyVectorOfTables(grants()) &&
+           verifier.EndTable();
+  }
+  token_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(token_grantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<token_grant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct token_grantBuilder {
+  typedef token_grant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(token_grant::VT_ROUND, round, 0);
+  }
+  void add_not_owner(bool not_owner) {
+    fbb_.AddElement<uint8_t>(token_grant::VT_NOT_OWNER, static_cast<uint8_t>(not_owner), 0);
+  }
+  void add_grants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::token_grant_item>>> grants) {
+    fbb_.AddOffset(token_grant::VT_GRANTS, grants);
+  }
+  explicit token_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<token_grant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<token_grant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<token_grant> Createtoken_grant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t round = 0,
+    bool not_owner = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::token_grant_item>>> grants = 0) {
+  token_grantBuilder builder_(_fbb);
+  builder_.add_round(round);
+  builder_.add_grants(grants);
+  builder_.add_not_owner(not_owner);
+  return builder_.Finish();
+}
+
+struct token_grant::Traits {
+  using type = token_grant;
+  static auto constexpr Create = Createtoken_grant;
+};
+
+inline flatbuffers::Offset<token_grant> Createtoken_grantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t round = 0,
+    bool not_owner = false,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::token_grant_item>> *grants = nullptr) {
+  auto grants__ = grants ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::token_grant_item>>(*grants) : 0;
+  return skylarkhoist::fbs::Createtoken_grant(
+      _fbb,
+      round,
+      not_owner,
+      grants__);
+}
+
+flatbuffers::Offset<token_grant> Createtoken_grant(flatbuffers::FlatBufferBuilder &_fbb, const token_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct envelopeT : public flatbuffers::NativeTable {
   typedef envelope TableType;
   skylarkhoist::fbs::payloadUnion body{};
@@ -4918,6 +5456,12 @@
   const skylarkhoist::fbs::suspect *body_as_suspect() const {
     return body_type() == skylarkhoist::fbs::payload::suspect ? static_cast<const skylarkhoist::fbs::suspect *>(body()) : nullptr;
   }
+  const skylarkhoist::fbs::token_request *body_as_token_request() const {
+    return body_type() == skylarkhoist::fbs::payload::token_request ? static_cast<const skylarkhoist::fbs::token_request *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::token_grant *body_as_token_grant() const {
+    return body_type() == skylarkhoist::fbs::payload::token_grant ? static_cast<const skylarkhoist::fbs::token_grant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5010,6 +5554,14 @@
   return body_as_suspect();
 }
 
+template<> inline const skylarkhoist::fbs::token_request *envelope::body_as<skylarkhoist::fbs::token_request>() const {
+  return body_as_token_request();
+}
+
+template<> inline const skylarkhoist::fbs::token_grant *envelope::body_as<skylarkhoist::fbs::token_grant>() const {
+  return body_as_token_grant();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5093,7 +5645,10 @@
 inline bool operator==(const load_levelT &lhs, const load_levelT &rhs) {
   return
       (lhs.service == rhs.service) &&
-      (lhs.permille == rhs.permille);
+      (lhs.permille == rhs.permille) &&
+      (lhs.run_us == rhs.run_us) &&
+      (lhs.cold == rhs.cold) &&
+      (lhs.pressure == rhs.pressure);
 }
 
 inline bool operator!=(const load_levelT &lhs, const load_levelT &rhs) {
@@ -5112,6 +5667,9 @@
   (void)_resolver;
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = permille(); _o->permille = _e; }
+  { auto _e = run_us(); _o->run_us = _e; }
+  { auto _e = cold(); _o->cold = _e; }
+  { auto _e = pressure(); _o->pressure = _e; }
 }
 
 inline flatbuffers::Offset<load_level> load_level::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_levelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5124,10 +5682,16 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const load_levelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _permille = _o->permille;
+  auto _run_us = _o->run_us;
+  auto _cold = _o->cold;
+  auto _pressure = _o->pressure;
   return skylarkhoist::fbs::Createload_level(
       _fbb,
       _service,
-      _permille);
+      _permille,
+      _run_us,
+      _cold,
+      _pressure);
 }
 
 
@@ -5259,7 +5823,10 @@
       (lhs.path == rhs.path) &&
       (lhs.headers.size() == rhs.headers.size() && std::equal(lhs.headers.cbegin(), lhs.headers.cend(), rhs.headers.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::headerT> const &a, std::unique_ptr<skylarkhoist::fbs::headerT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.body == rhs.body) &&
-      (lhs.body_checksum == rhs.body_checksum);
+      (lhs.body_checksum == rhs.body_checksum) &&
+      (lhs.caller_service == rhs.caller_service) &&
+      (lhs.route == rhs.route) &&
+      (lhs.target_left_ms == rhs.target_left_ms);
 }
 
 inline bool operator!=(const call_requestT &lhs, const call_requestT &rhs) {
@@ -5283,7 +5850,10 @@
         method(o.method),
         path(o.path),
         body(o.body),
-        body_checksum(o.body_checksum) {
+        body_checksum(o.body_checksum),
+        caller_service(o.caller_service),
+        route(o.route),
+        target_left_ms(o.target_left_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new skylarkhoist::fbs::headerT(*headers_) : nullptr); }
 }
@@ -5306,6 +5876,9 @@
   std::swap(headers, o.headers);
   std::swap(body, o.body);
   std::swap(body_checksum, o.body_checksum);
+  std::swap(caller_service, o.caller_service);
+  std::swap(route, o.route);
+  std::swap(target_left_ms, o.target_left_ms);
   return *this;
 }
 
@@ -5335,6 +5908,9 @@
   { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<skylarkhoist::fbs::headerT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = body_checksum(); _o->body_checksum = _e; }
+  { auto _e = caller_service(); if (_e) _o->caller_service = _e->str(); }
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = target_left_ms(); _o->target_left_ms = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5362,6 +5938,9 @@
   auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return Createheader(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   auto _body_checksum = _o->body_checksum;
+  auto _caller_service = _o->caller_service.empty() ? 0 : _fbb.CreateString(_o->caller_service);
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _target_left_ms = _o->target_left_ms;
   return skylarkhoist::fbs::Createcall_request(
       _fbb,
       _id,
@@ -5380,7 +5959,10 @@
       _path,
       _headers,
       _body,
-      _body_checksum);
+      _body_checksum,
+      _caller_service,
+      _route,
+      _target_left_ms);
 }
 
 
@@ -7055,6 +7637,212 @@
 }
 
 
+inline bool operator==(const token_wantT &lhs, const token_wantT &rhs) {
+  return
+      (lhs.customer == rhs.customer) &&
+      (lhs.wanted == rhs.wanted) &&
+      (lhs.used == rhs.used) &&
+      (lhs.rate == rhs.rate);
+}
+
+inline bool operator!=(const token_wantT &lhs, const token_wantT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline token_wantT *token_want::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<token_wantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_want::UnPackTo(token_wantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = customer(); if (_e) _o->customer = _e->str(); }
+  { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = used(); _o->used = _e; }
+  { auto _e = rate(); _o->rate = _e; }
+}
+
+inline flatbuffers::Offset<token_want> token_want::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_wantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_want(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_want> Createtoken_want(flatbuffers::FlatBufferBuilder &_fbb, const token_wantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_wantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
+  auto _wanted = _o->wanted;
+  auto _used = _o->used;
+  auto _rate = _o->rate;
+  return skylarkhoist::fbs::Createtoken_want(
+      _fbb,
+      _customer,
+      _wanted,
+      _used,
+      _rate);
+}
+
+
+inline bool operator==(const token_requestT &lhs, const token_requestT &rhs) {
+  return
+      (lhs.round == rhs.round) &&
+      (lhs.wants.size() == rhs.wants.size() && std::equal(lhs.wants.cbegin(), lhs.wants.cend(), rhs.wants.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::token_wantT> const &a, std::unique_ptr<skylarkhoist::fbs::token_wantT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const token_requestT &lhs, const token_requestT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline token_requestT::token_requestT(const token_requestT &o)
+      : round(o.round) {
+  wants.reserve(o.wants.size());
+  for (const auto &wants_ : o.wants) { wants.emplace_back((wants_) ? new skylarkhoist::fbs::token_wantT(*wants_) : nullptr); }
+}
+
+inline token_requestT &token_requestT::operator=(token_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(round, o.round);
+  std::swap(wants, o.wants);
+  return *this;
+}
+
+inline token_requestT *token_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<token_requestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_request::UnPackTo(token_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = wants(); if (_e) { _o->wants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->wants[_i] = std::unique_ptr<skylarkhoist::fbs::token_wantT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<token_request> token_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_request> Createtoken_request(flatbuffers::FlatBufferBuilder &_fbb, const token_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _round = _o->round;
+  auto _wants = _o->wants.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::token_want>> (_o->wants.size(), [](size_t i, _VectorArgs *__va) { return Createtoken_want(*__va->__fbb, __va->__o->wants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return skylarkhoist::fbs::Createtoken_request(
+      _fbb,
+      _round,
+      _wants);
+}
+
+
+inline bool operator==(const token_grant_itemT &lhs, const token_grant_itemT &rhs) {
+  return
+      (lhs.customer == rhs.customer) &&
+      (lhs.granted == rhs.granted) &&
+      (lhs.short_ == rhs.short_);
+}
+
+inline bool operator!=(const token_grant_itemT &lhs, const token_grant_itemT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline token_grant_itemT *token_grant_item::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<token_grant_itemT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_grant_item::UnPackTo(token_grant_itemT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = customer(); if (_e) _o->customer = _e->str(); }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = short_(); _o->short_ = _e; }
+}
+
+inline flatbuffers::Offset<token_grant_item> token_grant_item::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_itemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_grant_item(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_grant_item> Createtoken_grant_item(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_itemT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_grant_itemT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
+  auto _granted = _o->granted;
+  auto _short_ = _o->short_;
+  return skylarkhoist::fbs::Createtoken_grant_item(
+      _fbb,
+      _customer,
+      _granted,
+      _short_);
+}
+
+
+inline bool operator==(const token_grantT &lhs, const token_grantT &rhs) {
+  return
+      (lhs.round == rhs.round) &&
+      (lhs.not_owner == rhs.not_owner) &&
+      (lhs.grants.size() == rhs.grants.size() && std::equal(lhs.grants.cbegin(), lhs.grants.cend(), rhs.grants.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::token_grant_itemT> const &a, std::unique_ptr<skylarkhoist::fbs::token_grant_itemT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const token_grantT &lhs, const token_grantT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline token_grantT::token_grantT(const token_grantT &o)
+      : round(o.round),
+        not_owner(o.not_owner) {
+  grants.reserve(o.grants.size());
+  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new skylarkhoist::fbs::token_grant_itemT(*grants_) : nullptr); }
+}
+
+inline token_grantT &token_grantT::operator=(token_grantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(round, o.round);
+  std::swap(not_owner, o.not_owner);
+  std::swap(grants, o.grants);
+  return *this;
+}
+
+inline token_grantT *token_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<token_grantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void token_grant::UnPackTo(token_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = not_owner(); _o->not_owner = _e; }
+  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<skylarkhoist::fbs::token_grant_itemT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<token_grant> token_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtoken_grant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<token_grant> Createtoken_grant(flatbuffers::FlatBufferBuilder &_fbb, const token_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const token_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _round = _o->round;
+  auto _not_owner = _o->not_owner;
+  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::token_grant_item>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return Createtoken_grant_item(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return skylarkhoist::fbs::Createtoken_grant(
+      _fbb,
+      _round,
+      _not_owner,
+      _grants);
+}
+
+
 inline bool operator==(const envelopeT &lhs, const envelopeT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -7179,6 +7967,14 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::suspect *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::token_request: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::token_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::token_grant: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::token_grant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7278,6 +8074,14 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::suspect *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::token_request: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::token_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case payload::token_grant: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::token_grant *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7365,6 +8169,14 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::suspectT *>(value);
       return Createsuspect(_fbb, ptr, _rehasher).Union();
     }
+    case payload::token_request: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::token_requestT *>(value);
+      return Createtoken_request(_fbb, ptr, _rehasher).Union();
+    }
+    case payload::token_grant: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::token_grantT *>(value);
+      return Createtoken_grant(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7451,6 +8263,14 @@
       value = new skylarkhoist::fbs::suspectT(*reinterpret_cast<skylarkhoist::fbs::suspectT *>(u.value));
       break;
     }
+    case payload::token_request: {
+      value = new skylarkhoist::fbs::token_requestT(*reinterpret_cast<skylarkhoist::fbs::token_requestT *>(u.value));
+      break;
+    }
+    case payload::token_grant: {
+      value = new skylarkhoist::fbs::token_grantT(*reinterpret_cast<skylarkhoist::fbs::token_grantT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7558,6 +8378,16 @@
       delete ptr;
       break;
     }
+    case payload::token_request: {
+      auto ptr = reinterpret_cast<skylarkhoist::fbs::token_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case payload::token_grant: {
+      auto ptr = reinterpret_cast<skylarkhoist::fbs::token_grantT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
