Keep a cold target's bound when its announcement comes before the configuration

Ruled out: the budget itself, which grants 25 a second and a tenth of that at once. Change: the gate reads the rate with each change of its settings. A mint starts with a tenth of a second's tokens: a fresh one refused the first request of each customer. Tests: a fleet of hosted nodes on the manual loop (hosted_node_test).

--- a/decisions/cold_budget.cc
+++ b/decisions/cold_budget.cc
@@ -5,7 +5,7 @@
 namespace skylarkhoist {
 
 void cold_budget::SetCold(time_point until, double per_second, time_point now) {
-  if (!IsCold(now)) {
+  if (now >= until_) {
     level_ = 1.0;
     level_at_ = now;
   }
--- a/decisions/cold_budget.h
+++ b/decisions/cold_budget.h
@@ -16,6 +16,9 @@
   // The target is cold until `until`. A rate of 0 means that it bears any.
   void SetCold(time_point until, double per_second, time_point now);
 
+  // Changes the rate, for the rest of the cold state.
+  void SetRate(double per_second) { per_second_ = per_second; }
+
   bool IsCold(time_point now) const { return per_second_ > 0 && now < until_; }
 
   // Counts one call. Returns false when a cold target must not get it now.
--- a/decisions/target_gate.cc
+++ b/decisions/target_gate.cc
@@ -102,6 +102,7 @@
 
 void target_gate::UpdateSettings(const service_config& settings) {
   settings_ = settings;
+  cold_.SetRate(settings.cold_per_second);
   limit_->Update(LimitOptions(settings));
   BoundQueue();
 }
--- a/decisions/target_gate.h
+++ b/decisions/target_gate.h
@@ -69,10 +69,10 @@
   // Back to the cold capacity: the target restarted.
   void ResetCold(time_point now);
 
-  // The target is cold until `until`: it gets at most `per_second` calls a
-  // second. A time that has passed ends the state.
-  void SetCold(time_point until, double per_second, time_point now) {
-    cold_.SetCold(until, per_second, now);
+  // The target is cold until `until`: it gets at most the calls a second of its
+  // settings, also of later ones. A time that has passed ends the state.
+  void SetCold(time_point until, time_point now) {
+    cold_.SetCold(until, settings_.cold_per_second, now);
   }
   bool IsCold(time_point now) const { return cold_.IsCold(now); }
 
--- a/decisions/token_mint.cc
+++ b/decisions/token_mint.cc
@@ -4,6 +4,12 @@
 
 namespace skylarkhoist {
 
+token_mint::token_mint(double per_second, double burst, time_point now)
+    : per_second_(per_second),
+      burst_(burst),
+      level_(std::min(burst, 1.0 + per_second * kStartSeconds)),
+      filled_(now) {}
+
 void token_mint::Fill(time_point now) {
   const double seconds = std::chrono::duration<double>(now - filled_).count();
   level_ = std::min(burst_, level_ + std::max(seconds, 0.0) * per_second_);
--- a/decisions/token_mint.h
+++ b/decisions/token_mint.h
@@ -16,10 +16,9 @@
 // moves between nodes finds its tokens where it goes.
 class token_mint {
  public:
-  // Starts at level 0: an earlier mint of the same customer may have given away
-  // the whole burst just before.
-  token_mint(double per_second, double burst, time_point now)
-      : per_second_(per_second), burst_(burst), filled_(now) {}
+  // Starts with a small part of the burst: an earlier mint of the same customer
+  // may have given away the whole of it just before.
+  token_mint(double per_second, double burst, time_point now);
 
   void SetRate(double per_second, double burst, time_point now);
 
@@ -30,11 +29,14 @@
   bool is_short() const { return short_; }
 
  private:
+  // Tokens at the start, in seconds of the rate, beside a first one.
+  static constexpr double kStartSeconds = 0.1;
+
   void Fill(time_point now);
 
   double per_second_;
   double burst_;
-  double level_ = 0;
+  double level_;
   time_point filled_;
   bool short_ = false;
 };
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -157,8 +157,7 @@
   else if (restarted)
     target.gate->ResetCold(now);
   target.gate->UpdateSettings(settings);
-  target.gate->SetCold(now + announcement.cold_left, settings.cold_per_second,
-                       now);
+  target.gate->SetCold(now + announcement.cold_left, now);
   if (!changed)
     return true;
   LogStateChange(
--- /dev/null
+++ b/testing/hosted_fleet.cc
@@ -0,0 +1,180 @@
+#include "testing/hosted_fleet.h"
+
+#include <sstream>
+#include <utility>
+
+namespace skylarkhoist {
+namespace {
+
+constexpr std::string_view kZoneKey = "zone/";
+constexpr duration kAnnounceEach = std::chrono::seconds(1);
+
+route_config Route(const std::string& name, const std::string& service) {
+  route_config route;
+  route.name = name;
+  route.path_prefix = "/" + name + "/";
+  route.service = service;
+  route.access = name == "inner" ? route_access::kOpen : route_access::kKeyed;
+  route.repeatable = name != "once";
+  route.timeout = std::chrono::seconds(2);
+  route.target_latency = std::chrono::milliseconds(500);
+  route.max_attempts = 2;
+  return route;
+}
+
+service_config Service(const std::string& name) {
+  service_config service;
+  service.name = name;
+  service.cold_per_second = 20;
+  return service;
+}
+
+}  // namespace
+
+tl::expected<operator_record, findings> test_record_reader::Read(
+    const keyed_record& record) const {
+  if (record.key.compare(0, kZoneKey.size(), kZoneKey) == 0)
+    return operator_record(zone_record{record.key.substr(kZoneKey.size()),
+                                       record.value.has_value()});
+  if (record.key != "config" || !record.value)
+    return operator_record();
+  std::istringstream text(*record.value);
+  configuration_record result;
+  double rate = 0;
+  if (!(text >> result.version >> rate)) {
+    findings problems;
+    problems.Add("/", "must be a version, a rate and keys");
+    return tl::unexpected(problems);
+  }
+  config_view& view = result.view;
+  view.customers["acme"].name = "acme";
+  view.rates["acme"] = {rate, rate};
+  for (std::string key; text >> key;)
+    view.foreign_keys[key] = "acme";
+  for (const char* service : {"front", "deep"})
+    view.services[service] = Service(service);
+  view.routes["safe"] = Route("safe", "front");
+  view.routes["once"] = Route("once", "front");
+  view.routes["inner"] = Route("inner", "deep");
+  return operator_record(std::move(result));
+}
+
+hosted_fleet::hosted_fleet(size_t machines, uint64_t seed)
+    : random_(seed), network_(&loop_, &random_), targets_(loop_, seed) {
+  machines_.resize(machines);
+  for (size_t i = 0; i < machines; ++i) {
+    fake_target_options options;
+    options.starts_cold = false;
+    options.service_time = std::chrono::milliseconds(10);
+    targets_.Add(target(i), options);
+    target_announcement& announced = machines_[i].announced;
+    announced.service = i % 2 == 0 ? "front" : "deep";
+    announced.address = target(i);
+    announced.id = "t" + std::to_string(i);
+    announced.lifetime = 1;
+    announced.slots = 20;
+    StartNode(i);
+  }
+  AnnounceAll();
+}
+
+hosted_fleet::~hosted_fleet() {
+  for (size_t i = 0; i < machines_.size(); ++i) {
+    if (machines_[i].process != nullptr)
+      StopNode(i);
+  }
+}
+
+std::string hosted_fleet::address(size_t index) const {
+  return "10.0.0." + std::to_string(index + 1) + ":7000";
+}
+
+std::string hosted_fleet::target(size_t index) const {
+  return "10.0.0." + std::to_string(index + 1) + ":80";
+}
+
+std::string hosted_fleet::zone(size_t index) const {
+  return "z" + std::to_string(index / 2 % 3);
+}
+
+void hosted_fleet::StartNode(size_t index) {
+  machine& started = machines_[index];
+  hosted_node_options options;
+  options.name = "n" + std::to_string(index);
+  options.zone = zone(index);
+  options.peer_address = address(index);
+  options.local_service = started.announced.service;
+  options.incarnation = ++next_incarnation_;
+  started.client = store_.Connect(options.name);
+  started.timers = std::make_unique<node_loop>(&loop_);
+  started.counters = std::make_unique<metrics>();
+  hosted_node_parts parts;
+  parts.run_loop = started.timers.get();
+  parts.transport = network_.AddNode(
+      {options.peer_address, options.name, options.zone, options.incarnation});
+  parts.targets = &targets_;
+  parts.store = started.client.get();
+  parts.operators = &reader_;
+  parts.random = &random_;
+  parts.counters = started.counters.get();
+  started.process = std::make_unique<hosted_node>(options, parts);
+  started.process->Start();
+}
+
+void hosted_fleet::StopNode(size_t index) {
+  machine& stopped = machines_[index];
+  network_.StopNode(address(index));
+  stopped.timers->Stop();
+  stopped.process.reset();
+}
+
+void hosted_fleet::AnnounceAll() {
+  for (machine& each : machines_) {
+    ++each.announced.sequence;
+    if (each.process != nullptr && each.announces)
+      each.process->Announce(each.announced);
+  }
+  loop_.RunAfter(kAnnounceEach, [this] { AnnounceAll(); });
+}
+
+void hosted_fleet::SetTargetState(size_t index, fbs::member_state state) {
+  machine& changed = machines_[index];
+  changed.announced.state = state;
+  ++changed.announced.sequence;
+  changed.process->Announce(changed.announced);
+}
+
+void hosted_fleet::RestartTarget(size_t index, duration cold) {
+  machine& changed = machines_[index];
+  ++changed.announced.lifetime;
+  changed.announced.sequence = 1;
+  changed.announced.cold_left = cold;
+  changed.process->Announce(changed.announced);
+}
+
+std::shared_ptr<hosted_fleet::answer> hosted_fleet::Send(
+    size_t index,
+    const std::string& path,
+    const std::string& key) {
+  auto kept = std::make_shared<answer>();
+  http_request request;
+  request.method = "GET";
+  request.path = path;
+  if (!key.empty())
+    request.headers.Add("Authorization", "Bearer " + key);
+  node(index).HandleRequest(
+      std::move(request),
+      [kept](const http_response& response) { kept->response = response; });
+  return kept;
+}
+
+int hosted_fleet::Ask(size_t index,
+                      const std::string& path,
+                      const std::string& key,
+                      duration wait) {
+  const auto kept = Send(index, path, key);
+  Advance(wait);
+  return kept->response ? kept->response->status : 0;
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/testing/hosted_fleet.h
@@ -0,0 +1,101 @@
+#ifndef TESTING_HOSTED_FLEET_H_
+#define TESTING_HOSTED_FLEET_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kernel/metrics.h"
+#include "kernel/random.h"
+#include "node/hosted_node.h"
+#include "testing/fake_targets.h"
+#include "testing/manual_loop.h"
+#include "testing/memory_network.h"
+#include "testing/memory_store.h"
+
+namespace skylarkhoist {
+
+// Reads the records of hosted fleets in tests: the key "config" holds
+// "VERSION RATE KEY...", where the keys belong to the customer "acme" and RATE
+// is its rate and burst; the key "zone/NAME" takes a zone out of service.
+//
+// Routes: /safe/ and /once/ go to the service "front" with a key, /inner/ goes
+// to "deep" without one. /safe/ and /inner/ may be repeated.
+class test_record_reader : public operator_record_reader {
+ public:
+  tl::expected<operator_record, findings> Read(
+      const keyed_record& record) const override;
+};
+
+// Real hosted nodes on a manual loop, an in-memory network and store, and fake
+// targets. Machine i has the node "n<i>" in one of three zones and a target
+// that announces itself each second.
+class hosted_fleet {
+ public:
+  hosted_fleet(size_t machines, uint64_t seed);
+  ~hosted_fleet();
+
+  void Publish(const std::string& value) {
+    store_.Write(store_topic::kOperators, "config", value);
+  }
+  void Advance(duration step) { loop_.Advance(step); }
+
+  // Sends a request at machine `index`; the answer is kept until asked for.
+  struct answer {
+    std::optional<http_response> response;
+  };
+  std::shared_ptr<answer> Send(size_t index,
+                               const std::string& path,
+                               const std::string& key);
+  // Sends and runs the loop for `wait`; status 0 when there is no answer.
+  int Ask(size_t index,
+          const std::string& path,
+          const std::string& key,
+          duration wait = std::chrono::milliseconds(500));
+
+  void StartNode(size_t index);
+  void StopNode(size_t index);
+  // Announcements of the target at `index`.
+  void SetTargetState(size_t index, fbs::member_state state);
+  void RestartTarget(size_t index, duration cold);
+  void StopAnnouncing(size_t index) { machines_[index].announces = false; }
+
+  hosted_node& node(size_t index) { return *machines_[index].process; }
+  std::string address(size_t index) const;
+  std::string target(size_t index) const;
+  std::string zone(size_t index) const;
+  manual_loop& clock() { return loop_; }
+  memory_network& network() { return network_; }
+  memory_store& store() { return store_; }
+  fake_targets& targets() { return targets_; }
+  const fake_target_counters& runs(size_t index) {
+    return targets_.counters(target(index));
+  }
+
+ private:
+  struct machine {
+    target_announcement announced;
+    bool announces = true;
+    std::unique_ptr<keyed_store> client;
+    std::unique_ptr<node_loop> timers;
+    std::unique_ptr<metrics> counters;
+    std::unique_ptr<hosted_node> process;
+  };
+
+  void AnnounceAll();
+
+  manual_loop loop_;
+  mt_random random_;
+  memory_network network_;
+  memory_store store_{&loop_};
+  fake_targets targets_;
+  test_record_reader reader_;
+  std::vector<machine> machines_;
+  uint64_t next_incarnation_ = 100;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // TESTING_HOSTED_FLEET_H_
--- /dev/null
+++ b/testing/memory_store.cc
@@ -0,0 +1,159 @@
+#include "testing/memory_store.h"
+
+#include <utility>
+
+namespace skylarkhoist {
+
+class memory_store_client : public keyed_store {
+ public:
+  memory_store_client(memory_store* store, std::string name)
+      : store_(store), name_(std::move(name)) {}
+
+  void ReadNewest(store_topic topic, read_callback done) override {
+    Call([store = store_, topic, done = std::move(done)](bool reached) {
+      if (!reached) {
+        done(tl::unexpected(store_error::kRefused));
+        return;
+      }
+      const memory_store::topic_log& log = store->logs_[topic];
+      keyed_batch batch;
+      for (const auto& [key, record] : log.newest) {
+        if (record.value)
+          batch.records.push_back(record);
+      }
+      batch.end = log.records.size();
+      done(batch);
+    });
+  }
+
+  void ReadFrom(store_topic topic,
+                uint64_t from,
+                duration wait,
+                read_callback done) override {
+    Call([this, store = store_, name = name_, topic, from, wait,
+          done = std::move(done)](bool reached) {
+      if (!reached) {
+        done(tl::unexpected(store_error::kRefused));
+        return;
+      }
+      memory_store::topic_log& log = store->logs_[topic];
+      if (from < log.first) {
+        done(tl::unexpected(store_error::kTrimmed));
+        return;
+      }
+      if (from < log.records.size()) {
+        done(store->ReadOn(log, from));
+        return;
+      }
+      log.waiting.push_back({name, from, 0, done});
+      store->loop_->RunAfter(wait, [store, topic, name, from] {
+        auto& waiting = store->logs_[topic].waiting;
+        for (auto each = waiting.begin(); each != waiting.end(); ++each) {
+          if (each->client != name || each->from != from)
+            continue;
+          const auto timed_out = std::move(each->done);
+          waiting.erase(each);
+          timed_out(keyed_batch{{}, from});
+          return;
+        }
+      });
+    });
+  }
+
+  void Put(store_topic topic,
+           const std::string& key,
+           const std::optional<std::string>& value,
+           write_callback done) override {
+    Call([store = store_, topic, key, value,
+          done = std::move(done)](bool reached) {
+      if (!reached) {
+        done(tl::unexpected(store_error::kRefused));
+        return;
+      }
+      store->Write(topic, key, value);
+      if (store->lose_answers_)
+        done(tl::unexpected(store_error::kUnknown));
+      else
+        done({});
+    });
+  }
+
+ private:
+  void Call(std::function<void(bool)> act) {
+    store_->Answer(name_, std::move(act));
+  }
+
+  memory_store* store_;
+  std::string name_;
+};
+
+std::unique_ptr<keyed_store> memory_store::Connect(const std::string& client) {
+  return std::make_unique<memory_store_client>(this, client);
+}
+
+void memory_store::Answer(const std::string& client,
+                          std::function<void(bool)> act) {
+  ++calls_;
+  loop_->RunAfter(delay_, [this, client, act = std::move(act)] {
+    act(unreachable_.count(client) == 0);
+  });
+}
+
+void memory_store::SetReachable(const std::string& client, bool reachable) {
+  if (reachable) {
+    unreachable_.erase(client);
+    return;
+  }
+  unreachable_.insert(client);
+  for (auto& [topic, log] : logs_) {
+    std::vector<waiting_read> kept;
+    for (waiting_read& each : std::exchange(log.waiting, {})) {
+      if (each.client == client)
+        each.done(tl::unexpected(store_error::kRefused));
+      else
+        kept.push_back(std::move(each));
+    }
+    for (waiting_read& each : kept)
+      log.waiting.push_back(std::move(each));
+  }
+}
+
+uint64_t memory_store::Write(store_topic topic,
+                             const std::string& key,
+                             const std::optional<std::string>& value) {
+  topic_log& log = logs_[topic];
+  const keyed_record record{key, value, log.records.size()};
+  log.records.push_back(record);
+  log.newest[key] = record;
+  WakeReaders(&log);
+  return record.offset;
+}
+
+void memory_store::WakeReaders(topic_log* log) {
+  for (waiting_read& each : std::exchange(log->waiting, {}))
+    each.done(ReadOn(*log, each.from));
+}
+
+keyed_batch memory_store::ReadOn(const topic_log& log, uint64_t from) const {
+  keyed_batch batch;
+  batch.records.assign(log.records.begin() + static_cast<std::ptrdiff_t>(from),
+                       log.records.end());
+  batch.end = log.records.size();
+  return batch;
+}
+
+void memory_store::Trim(store_topic topic) {
+  topic_log& log = logs_[topic];
+  log.first = log.records.size();
+}
+
+std::optional<std::string> memory_store::Newest(store_topic topic,
+                                                const std::string& key) const {
+  const auto log = logs_.find(topic);
+  if (log == logs_.end())
+    return std::nullopt;
+  const auto found = log->second.newest.find(key);
+  return found == log->second.newest.end() ? std::nullopt : found->second.value;
+}
+
+}  // namespace skylarkhoist
--- /dev/null
+++ b/testing/memory_store.h
@@ -0,0 +1,81 @@
+#ifndef TESTING_MEMORY_STORE_H_
+#define TESTING_MEMORY_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kernel/loop.h"
+#include "wire/keyed_store.h"
+
+namespace skylarkhoist {
+
+// The keyed store in memory, for any number of clients on one loop.
+//
+//   memory_store store(&loop);
+//   const auto client = store.Connect("a");
+//   store.SetReachable("a", false);   // this client gets no answers
+//   store.Trim(store_topic::kOperators);   // reads of old offsets fail
+class memory_store {
+ public:
+  explicit memory_store(loop* run_loop) : loop_(run_loop) {}
+  memory_store(const memory_store&) = delete;
+  memory_store& operator=(const memory_store&) = delete;
+
+  // The client must not outlive this object.
+  std::unique_ptr<keyed_store> Connect(const std::string& client);
+
+  // Requests of this client are refused while it is not reachable, also those
+  // that wait.
+  void SetReachable(const std::string& client, bool reachable);
+  // The next writes of all clients take effect, but their answers are lost.
+  void LoseWriteAnswers(bool lose) { lose_answers_ = lose; }
+  void SetDelay(duration delay) { delay_ = delay; }
+
+  // Writes at once, without a client.
+  uint64_t Write(store_topic topic,
+                 const std::string& key,
+                 const std::optional<std::string>& value);
+  // Drops all records that are not the newest of their key.
+  void Trim(store_topic topic);
+
+  uint64_t calls() const { return calls_; }
+  // The newest value of a key; nothing when it has none.
+  std::optional<std::string> Newest(store_topic topic,
+                                    const std::string& key) const;
+
+ private:
+  friend class memory_store_client;
+
+  struct waiting_read {
+    std::string client;
+    uint64_t from = 0;
+    timer_id timeout = 0;
+    keyed_store::read_callback done;
+  };
+  struct topic_log {
+    uint64_t first = 0;
+    std::vector<keyed_record> records;
+    std::map<std::string, keyed_record> newest;
+    std::vector<waiting_read> waiting;
+  };
+
+  void Answer(const std::string& client, std::function<void(bool)> act);
+  keyed_batch ReadOn(const topic_log& log, uint64_t from) const;
+  void WakeReaders(topic_log* log);
+
+  loop* loop_;
+  duration delay_ = std::chrono::milliseconds(4);
+  bool lose_answers_ = false;
+  std::set<std::string> unreachable_;
+  std::map<store_topic, topic_log> logs_;
+  uint64_t calls_ = 0;
+};
+
+}  // namespace skylarkhoist
+
+#endif  // TESTING_MEMORY_STORE_H_
