--- /dev/null
+++ b/node/hosted_settings_test.cc
@@ -0,0 +1,59 @@
+#include "node/hosted_settings.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "kernel/json.h"
+
+namespace skylarkhoist {
+namespace {
+
+json Valid() {
+  return json::parse(
+      R"json({"node":"n","zone":"z1","zones":{"z1":"r1","z2":"r1"},
+"listeners":{"requests":"10.0.0.1:1","ready":"10.0.0.1:2","announcements":"10.0.0.1:3",
+"peer":"10.0.0.1:4","metrics":"10.0.0.1:5"},
+"target":{"service":"s","address":"10.0.0.1:6"},"store":{"address":"10.0.0.2:1"},
+"announcement_interval_ms":1500,"stop_grace_s":6})json");
+}
+
+TEST_GROUP(hosted_settings){};
+
+TEST(hosted_settings, ReadsAllFields) {
+  const auto read = ParseHostedSettings(Valid().dump());
+  CHECK_TRUE(read.has_value());
+  STRCMP_EQUAL("10.0.0.1:3", read->announcement_address.c_str());
+  STRCMP_EQUAL("r1", read->regions.at("z2").c_str());
+  CHECK_TRUE(read->announcement_interval == std::chrono::milliseconds(1500));
+  CHECK_TRUE(read->stop_grace == std::chrono::seconds(6));
+}
+
+// Guards against a node that starts with settings that cannot work, and against
+// findings without their place.
+TEST(hosted_settings, EachFaultIsAFinding) {
+  const struct {
+    const char* place;
+    json value;
+  } cases[] = {{"/zone", "z9"},
+               {"/listeners/peer", "10.0.0.1:1"},
+               {"/listeners/ready", "nowhere"},
+               {"/store/address", 7},
+               {"/stop_grace_s", 0},
+               {"/announcement_interval_ms", "soon"}};
+  for (const auto& each : cases) {
+    json changed = Valid();
+    changed[json::json_pointer(each.place)] = each.value;
+    const auto read = ParseHostedSettings(changed.dump());
+    CHECK_FALSE_TEXT(read.has_value(), each.place);
+    STRCMP_CONTAINS(each.place, read.error().ToText().c_str());
+  }
+  json unknown = Valid();
+  unknown["surplus"] = 1;
+  CHECK_FALSE(ParseHostedSettings(unknown.dump()).has_value());
+  CHECK_FALSE(ParseHostedSettings("{").has_value());
+  CHECK_FALSE(ReadHostedSettings("/no/such/file").has_value());
+}
+
+}  // namespace
+}  // namespace skylarkhoist
