Refuse requests at the end of a planned stop instead of cutting them

Ruled out: the forced end, which comes 5.5 s after the signal. Change: the node waits until nothing is open, refuses from then on, and refuses after 4 s in any case. Test: requests of 200 ms during a stop, which fails before.

--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -17,6 +17,8 @@
 // reach.
 constexpr double kRetryShare = 0.04;
 
+constexpr duration kIdleCheck = std::chrono::milliseconds(20);
+
 peer_info SelfInfo(const hosted_node_options& options) {
   return {options.peer_address, options.name, options.zone,
           options.incarnation};
@@ -184,12 +186,28 @@
   // Callers come until they have noticed that this node is not ready; they are
   // served through the targets of the others. The local target's calls are
   // served to the end.
-  drain_timer_ = parts_.run_loop->RunAfter(options_.drain_grace, [this] {
+  const time_point limit = parts_.run_loop->Now() + options_.drain_limit;
+  drain_timer_ = parts_.run_loop->RunAfter(options_.drain_grace, [this, limit] {
     drain_timer_ = 0;
-    executor_.Drain([this] { entry_.Drain([this] { FinishDrain(); }); });
+    WaitUntilIdle(limit);
   });
 }
 
+// From the moment at which nothing is open, new requests are refused: the
+// process ends before it could answer them.
+void hosted_node::WaitUntilIdle(time_point limit) {
+  const bool idle = entry_.open_calls() == 0 && executor_.open_calls() == 0;
+  if (!idle && parts_.run_loop->Now() < limit) {
+    drain_timer_ = parts_.run_loop->RunAfter(kIdleCheck, [this, limit] {
+      drain_timer_ = 0;
+      WaitUntilIdle(limit);
+    });
+    return;
+  }
+  entry_.StopAccepting();
+  executor_.Drain([this] { entry_.Drain([this] { FinishDrain(); }); });
+}
+
 void hosted_node::FinishDrain() {
   directory_.Leave([] {});
   // Gives the last messages time to leave.
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -39,6 +39,8 @@
   // How long a node that stops goes on taking requests, so that callers have
   // noticed that it is not ready.
   duration drain_grace = std::chrono::milliseconds(2500);
+  // When a node that stops refuses requests although it has never been idle.
+  duration drain_limit = std::chrono::seconds(4);
 };
 
 // The parts that a node gets from its process, or from a test.
@@ -102,6 +104,7 @@
   fbs::heartbeatT MakeHeartbeat() override;
 
   void OnMembersChanged();
+  void WaitUntilIdle(time_point limit);
   void FinishDrain();
 
   hosted_node_options options_;
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -281,6 +281,26 @@
   CHECK_FALSE(fleet.store().Newest(store_topic::kNodes, "n0").has_value());
 }
 
+// Guards against a request that arrives while the process ends and is neither
+// answered nor refused: callers go on sending at a node that stops.
+TEST(hosted_node, AStopAnswersOrRefusesEachRequest) {
+  Start();
+  bool drained = false;
+  fleet.node(0).Drain([&] { drained = true; });
+  std::vector<std::shared_ptr<hosted_fleet::answer>> answers;
+  for (const size_t each : {0U, 2U, 4U})
+    fleet.targets().SlowDown(fleet.target(each), 20, seconds(20));
+  // Leaves idle moments between requests that take 200 ms and more.
+  while (!drained) {
+    answers.push_back(fleet.Send(0, "/once/x", "k1"));
+    for (int i = 0; i < 28 && !drained; ++i)
+      fleet.Advance(milliseconds(10));
+  }
+  for (const auto& each : answers)
+    CHECK_TRUE(each->response.has_value());
+  CHECK_TRUE(answers.size() > 5);
+}
+
 // Guards against nodes that never find each other because the store was away
 // when they started.
 TEST(hosted_node, FindsTheOthersOnceTheStoreIsBack) {
