Refuse at the door what a deep service cannot serve, never its calls

Ruled out: placing; nearly all calls of that service already crossed zones because two zones had no worker of it. Change: calls of admitted requests wait until their deadline and are never refused; new requests get a share of hand-overs beside them; the door learns which services a route leads to (decisions/call_estimator, carried back with the answers) and sheds by rank with a floor of 12 in 100; targets that fail more than the others of their service are used last; Retry-After follows the latency target and the rank. Also: commands OutagesHaveTheirOwnCodes failed once.

--- a/cli/commands_test.cc
+++ b/cli/commands_test.cc
@@ -164,6 +164,8 @@
   log.faults().refused_appends = 1;
   CHECK_EQUAL(kExitLogUnreachable, Publish("/customers/c", "{}", "0"));
   log.faults() = memory_log_faults();
+  log.faults().min_delay = std::chrono::milliseconds(6);
+  log.faults().max_delay = log.faults().min_delay;
   // The log goes silent once the command has read it.
   loop.RunAfter(std::chrono::milliseconds(11),
                 [this] { log.faults().silent = true; });
--- a/decisions/admission.cc
+++ b/decisions/admission.cc
@@ -136,6 +136,8 @@
     bool admitted,
     time_point now,
     random_source& random) {
+  if (admitted && !options_.check_admitted)
+    return std::nullopt;
   const auto index = static_cast<size_t>(rank);
   std::vector<service_state*> chain = {&services_[service]};
   for (const std::string& name : downstream) {
@@ -147,6 +149,7 @@
   // One draw for the whole chain: the tightest service decides, and two short
   // services don't multiply their refusals.
   const double draw = random.Fraction();
+  const bool by_floor = draw < options_.floor_share;
   service_state* refusing = nullptr;
   for (service_state* state : chain) {
     Adjust(*state, now);
@@ -154,7 +157,9 @@
     if (now - state->reported >= kMaxAge)
       continue;
     bool refuse = false;
-    if (admitted) {
+    if (by_floor) {
+      refuse = false;
+    } else if (admitted) {
       refuse =
           state->level > kAdmittedLoad && draw >= kAdmittedLoad / state->level;
     } else if (HigherRefused(*state, index, now)) {
@@ -175,7 +180,7 @@
   }
   for (service_state* state : chain) {
     ++state->passed;
-    if (!admitted)
+    if (!admitted && !by_floor)
       state->passed_at[index] = now;
   }
   return std::nullopt;
--- a/decisions/admission.h
+++ b/decisions/admission.h
@@ -16,6 +16,14 @@
 
 namespace skylarkhoist {
 
+struct admission_options {
+  // Least share of the requests of each class that passes, so that no kind of
+  // request is starved by more important ones.
+  double floor_share = 0;
+  // Whether calls of admitted requests are counted and may be refused.
+  bool check_admitted = true;
+};
+
 // Refuses requests at the entry that would fail deep in their chain, from the
 // load levels that answers carry back. One instance per node:
 //
@@ -29,6 +37,9 @@
 // younger than kMaxAge there is no limit.
 class admission {
  public:
+  explicit admission(const admission_options& options = {})
+      : options_(options) {}
+
   // Load in permille at which the rate is held: full plus a short queue, which
   // keeps targets busy between two reports.
   static constexpr uint32_t kTargetLoad = 1300;
@@ -99,6 +110,7 @@
                             size_t rank,
                             time_point now);
 
+  admission_options options_;
   std::map<std::string, service_state> services_;
 };
 
--- a/decisions/fair_queue.cc
+++ b/decisions/fair_queue.cc
@@ -32,13 +32,15 @@
   std::optional<reason> Push(gate_call call, time_point now) override {
     if (items_.empty())
       busy_since_ = now;
-    if (items_.size() >= options_.max_length && !MakeRoom(call))
+    const bool waits = options_.admitted_wait && call.admitted;
+    if (!waits && items_.size() >= options_.max_length && !MakeRoom(call))
       return reason::kQueueFull;
     const uint64_t number = next_number_++;
     item added;
     added.band = BandOf(call);
     added.since = now;
-    added.expiry = std::min(now + options_.bound, call.deadline);
+    added.expiry =
+        waits ? call.deadline : std::min(now + options_.bound, call.deadline);
     band& target = bands_[added.band];
     auto [queue, created] = target.customers.try_emplace(call.customer);
     if (created)
@@ -57,13 +59,11 @@
 
   std::optional<gate_call> Pop(time_point now, duration needed) override {
     Expire(now);
+    if (options_.admitted_wait)
+      return PopWithShares(now, needed);
     for (size_t index = kBands; index-- > 0;) {
-      while (!bands_[index].turns.empty()) {
-        gate_call call = Take(NextOf(index, now));
-        if (call.deadline > now + needed)
-          return call;
-        refused_.push_back({call.id, reason::kDeadlineBeforeRun});
-      }
+      if (auto call = PopBand(index, now, needed))
+        return call;
     }
     return std::nullopt;
   }
@@ -133,6 +133,47 @@
     std::list<std::string> turns;
   };
 
+  std::optional<gate_call> PopBand(size_t index,
+                                   time_point now,
+                                   duration needed) {
+    while (!bands_[index].turns.empty()) {
+      gate_call call = Take(NextOf(index, now));
+      if (call.deadline > now + needed)
+        return call;
+      refused_.push_back({call.id, reason::kDeadlineBeforeRun});
+    }
+    return std::nullopt;
+  }
+
+  // Highest class first, among the admitted calls or among the new ones.
+  std::optional<gate_call> PopKind(bool admitted,
+                                   time_point now,
+                                   duration needed) {
+    for (size_t index = kBands; index-- > 0;) {
+      if ((index % 2 == 1) != admitted)
+        continue;
+      if (auto call = PopBand(index, now, needed))
+        return call;
+    }
+    return std::nullopt;
+  }
+
+  // Admitted calls before new ones of any class, but for the share of the new
+  // ones, which a service deep in the chain would never serve otherwise.
+  std::optional<gate_call> PopWithShares(time_point now, duration needed) {
+    if (new_credit_ >= 1.0) {
+      if (auto call = PopKind(false, now, needed)) {
+        new_credit_ -= 1.0;
+        return call;
+      }
+    }
+    if (auto call = PopKind(true, now, needed)) {
+      new_credit_ = std::min(1.0, new_credit_ + options_.new_share);
+      return call;
+    }
+    return PopKind(false, now, needed);
+  }
+
   static size_t BandOf(const gate_call& call) {
     return static_cast<size_t>(call.rank) * 2 + (call.admitted ? 1 : 0);
   }
@@ -236,6 +277,8 @@
   std::vector<gate_refusal> refused_;
   uint64_t next_number_ = 1;
   time_point busy_since_;
+  // Hand-overs that new calls have earned.
+  double new_credit_ = 0;
 };
 
 const queue_registry::entry kFair("fair", [](const queue_options& options) {
--- a/decisions/request_queue.h
+++ b/decisions/request_queue.h
@@ -35,6 +35,12 @@
   duration bound = std::chrono::milliseconds(500);
   // Most waiting calls.
   size_t max_length = 1000;
+  // Admitted calls wait until their deadline, beyond `bound` and `max_length`:
+  // the work of their parents is lost with them.
+  bool admitted_wait = false;
+  // With `admitted_wait`, the least share of hand-overs that new calls get
+  // while admitted ones wait.
+  double new_share = 0;
 };
 
 // The waiting calls of one target and their order. Plug-ins register under a
--- a/decisions/routing_policy.h
+++ b/decisions/routing_policy.h
@@ -27,6 +27,8 @@
   time_point load_at;
   // Concurrency limit that the executing node reported; 0 when unknown.
   uint32_t limit = 0;
+  // Share of this node's last calls there that got no good answer.
+  double failed_share = 0;
   // When this node first saw the target in its present incarnation.
   time_point seen_since;
 };
--- a/decisions/target_gate.cc
+++ b/decisions/target_gate.cc
@@ -24,6 +24,8 @@
                          time_point /*now*/,
                          const gate_plugins& plugins)
     : settings_(settings),
+      admitted_wait_(plugins.admitted_wait),
+      new_share_(plugins.new_share),
       limit_(limit_registry::Create(plugins.limit, LimitOptions(settings))),
       queue_(queue_registry::Create(plugins.order, queue_options())) {
   if (limit_ == nullptr)
@@ -36,6 +38,8 @@
 void target_gate::BoundQueue() {
   queue_options options;
   options.bound = settings_.queue_bound;
+  options.admitted_wait = admitted_wait_;
+  options.new_share = new_share_;
   options.max_length =
       static_cast<size_t>(limit_->Limit()) * kQueuePerSlot + kSpareQueue;
   queue_->Update(options);
--- a/decisions/target_gate.h
+++ b/decisions/target_gate.h
@@ -22,6 +22,9 @@
 struct gate_plugins {
   std::string limit = "gradient";
   std::string order = "fair";
+  // See queue_options.
+  bool admitted_wait = false;
+  double new_share = 0;
 };
 
 // Decides which calls one target gets and when: a queue in front of a
@@ -104,6 +107,8 @@
   void BoundQueue();
 
   service_config settings_;
+  bool admitted_wait_;
+  double new_share_;
   cold_budget cold_;
   duration usual_run_ = duration::zero();
   std::unique_ptr<concurrency_limit> limit_;
--- a/decisions/zone_aware_routing.cc
+++ b/decisions/zone_aware_routing.cc
@@ -38,9 +38,19 @@
   return std::max(candidate.load_permille + added, own) + kAgePenalty * old;
 }
 
-// The near zone while it has room, then other zones with room, then all. In
-// each group the less loaded of two random candidates: choosing the least
-// loaded of all would send every node to the same free target.
+// Targets that fail clearly more often than the best one are used when no other
+// has room. What all targets of a service do, such as failing with a service
+// behind them, says nothing about one of them.
+constexpr double kFailing = 0.1;
+constexpr double kFailingFactor = 2.5;
+
+// The near zone while it has room, then other zones with room, then targets
+// with room that fail, then all. In each group the less loaded of two random
+// candidates: choosing the least loaded of all would send every node to the
+// same free target.
+//
+// Load pattern: some targets lose or fail a part of their answers while the
+// others have room.
 class zone_aware_routing : public routing_policy {
  public:
   std::optional<size_t> Pick(const std::vector<route_candidate>& candidates,
@@ -48,16 +58,24 @@
                              random_source& random) override {
     std::vector<choice> near;
     std::vector<choice> far;
+    std::vector<choice> failing;
     std::vector<choice> all;
+    double least_failed = 1.0;
+    for (const route_candidate& each : candidates)
+      least_failed = std::min(least_failed, each.failed_share);
+    const double bound = kFailing + least_failed * kFailingFactor;
     for (size_t i = 0; i < candidates.size(); ++i) {
       const route_candidate& each = candidates[i];
       const choice added = {i, EstimateOf(each, now)};
       all.push_back(added);
       if (added.estimate >= kFull || HeldBack(each, now, random))
         continue;
-      (each.same_zone ? near : far).push_back(added);
+      if (each.failed_share > bound)
+        failing.push_back(added);
+      else
+        (each.same_zone ? near : far).push_back(added);
     }
-    for (const auto* group : {&near, &far, &all}) {
+    for (const auto* group : {&near, &far, &failing, &all}) {
       if (!group->empty())
         return LessLoaded(*group, random);
     }
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "decisions/api_key.h"
@@ -16,6 +17,13 @@
 // Lines of one node about ended requests, a second.
 constexpr double kLoggedRequests = 100;
 
+constexpr int kServerError = 500;
+
+// How far one call moves the record of its target, and the time in which a
+// record without new calls fades.
+constexpr double kRecordStep = 0.1;
+constexpr double kRecordSeconds = 3.0;
+
 // Lost runs are made again only with at least this time left.
 constexpr duration kLeastTimeForRetry = std::chrono::milliseconds(50);
 
@@ -48,6 +56,7 @@
       random_(random),
       options_(std::move(options)),
       config_(std::make_shared<config_view>()),
+      admission_(options_.admission),
       routing_(routing_registry::Create(options_.routing)),
       ended_(counters,
              "skylarkhoist_requests_total",
@@ -145,6 +154,8 @@
       SetCustomer(opened, owner->second);
   } else {
     opened->admitted = options_.open_requests_are_calls;
+    if (opened->admitted && local_call_)
+      local_call_(route->name);
   }
   return Prepare(opened, *route);
 }
@@ -304,7 +315,7 @@
     return;
   }
   const auto refused =
-      admission_.Check(opened->service, service->second.calls, opened->rank,
+      admission_.Check(opened->service, ChainOf(*opened), opened->rank,
                        opened->admitted, loop_->Now(), *random_);
   if (refused) {
     FinishError(opened, *refused, fbs::ran_state::kNo);
@@ -313,6 +324,16 @@
   ClaimKey(number);
 }
 
+// The services behind the first one, by configuration or as learned.
+std::vector<std::string> entry::ChainOf(const call& opened) const {
+  const auto learned = chains_.find(opened.route);
+  if (learned != chains_.end())
+    return learned->second;
+  const auto service = config_->services.find(opened.service);
+  return service == config_->services.end() ? std::vector<std::string>()
+                                            : service->second.calls;
+}
+
 // A request that may not be repeated needs its idempotency key before it may
 // run.
 void entry::ClaimKey(entry_call_id number) {
@@ -406,6 +427,7 @@
     }
     const auto open = open_by_target_.find(key);
     candidate.open_calls = open == open_by_target_.end() ? 0 : open->second;
+    candidate.failed_share = FailedShare(target.peer_address, opened.service);
     candidates.push_back(std::move(candidate));
   }
   return candidates;
@@ -506,6 +528,10 @@
   if (!answer.loads.empty() && answer.loads.front() != nullptr)
     NoteLoad(from.address, opened->service, answer.loads.front()->permille);
   opened->credit = std::min<int>(opened->credit, answer.credit_left);
+  NoteChain(*opened, answer);
+  if (answer.outcome != fbs::outcome::kRefused)
+    NoteEnd(*opened->current, answer.outcome != fbs::outcome::kAnswered ||
+                                  answer.status >= kServerError);
   EndAttempt(opened);
   if (!IsIntact(answer)) {
     damaged_answers_.Increment();
@@ -540,6 +566,39 @@
   loads_[key] = {permille, loop_->Now(), still_open};
 }
 
+// The node beside the target tells which services the runs of this route lead
+// to.
+void entry::NoteChain(const call& opened, const fbs::call_answerT& answer) {
+  if (answer.outcome != fbs::outcome::kAnswered || opened.route.empty())
+    return;
+  std::vector<std::string>& chain = chains_[opened.route];
+  chain.clear();
+  for (size_t i = 1; i < answer.loads.size(); ++i) {
+    if (answer.loads[i] != nullptr &&
+        answer.loads[i]->service != opened.service)
+      chain.push_back(answer.loads[i]->service);
+  }
+}
+
+void entry::NoteEnd(const attempt& ended, bool failed) {
+  target_record& record = records_[{ended.address, ended.service}];
+  const double before = FailedShare(ended.address, ended.service);
+  record.failed = before + kRecordStep * ((failed ? 1.0 : 0.0) - before);
+  record.changed = loop_->Now();
+}
+
+// Fades with time, so that a target that was avoided is tried again.
+double entry::FailedShare(const std::string& address,
+                          const std::string& service) const {
+  const auto found = records_.find({address, service});
+  if (found == records_.end())
+    return 0;
+  const double age =
+      std::chrono::duration<double>(loop_->Now() - found->second.changed)
+          .count();
+  return found->second.failed * std::exp(-age / kRecordSeconds);
+}
+
 void entry::OnRefused(call* opened, reason why, bool local) {
   opened->last_refusal = why;
   if (why == reason::kShedByTarget)
@@ -625,8 +684,16 @@
   Finish(opened, response);
 }
 
-duration entry::RetryAfter(const call& /*opened*/, reason /*why*/) {
-  return options_.retry_after;
+// When a caller should come back. A request that finds no room is worth most
+// when it returns in time for its target latency, and more important ones
+// return first; the spread keeps returns from coming all at once.
+duration entry::RetryAfter(const call& opened, reason why) {
+  if (opened.target_at == time_point::max() || why == reason::kRateLimited)
+    return options_.retry_after;
+  const double share = opened.rank == priority_class::kCritical ? 0.15 : 0.35;
+  const double spread = 0.75 + 0.5 * random_->Fraction();
+  return std::chrono::duration_cast<duration>(
+      (opened.target_at - opened.arrived) * (share * spread));
 }
 
 // One line a request, with what decided its end.
@@ -806,6 +873,28 @@
   }
 }
 
+std::vector<fbs::load_levelT> entry::LoadsOfCalls(
+    const std::vector<std::string>& call_routes) {
+  std::set<std::string> services;
+  for (const std::string& name : call_routes) {
+    const auto route = config_->routes.find(name);
+    if (route == config_->routes.end())
+      continue;
+    services.insert(route->second.service);
+    const auto chain = chains_.find(name);
+    if (chain != chains_.end())
+      services.insert(chain->second.begin(), chain->second.end());
+  }
+  std::vector<fbs::load_levelT> levels;
+  for (const std::string& service : services) {
+    fbs::load_levelT level;
+    level.service = service;
+    level.permille = admission_.LevelOf(service, loop_->Now()).value_or(0);
+    levels.push_back(std::move(level));
+  }
+  return levels;
+}
+
 std::vector<fbs::load_levelT> entry::DownstreamLoads(
     const std::string& service) {
   std::vector<fbs::load_levelT> levels;
--- a/node/entry.h
+++ b/node/entry.h
@@ -68,6 +68,7 @@
   bool open_requests_are_calls = false;
   // Sends a repeatable request to another target when its run was lost.
   bool retry_lost_runs = false;
+  admission_options admission;
   // Share of first attempts that may be made again.
   double retry_share = 0.1;
   // Requests of callers that may be open at the same time; bounds the memory
@@ -142,6 +143,15 @@
   // Load levels of the services behind `service`, as this node saw them last.
   std::vector<fbs::load_levelT> DownstreamLoads(const std::string& service);
 
+  // Load levels of the services that calls on these routes lead to.
+  std::vector<fbs::load_levelT> LoadsOfCalls(
+      const std::vector<std::string>& call_routes);
+
+  // Told the route of each call of the local target.
+  void OnLocalCall(std::function<void(const std::string& route)> callback) {
+    local_call_ = std::move(callback);
+  }
+
   // Refuses new requests from callers from now on. Child calls go on, since
   // they belong to requests in progress.
   void StopAccepting() { accepting_ = false; }
@@ -204,6 +214,12 @@
     timer_id deadline_timer = 0;
     timer_id query_timer = 0;
   };
+  // How a target treated the calls of this node lately.
+  struct target_record {
+    // Share of calls without a good answer.
+    double failed = 0;
+    time_point changed;
+  };
   struct load_report {
     uint32_t permille = 0;
     time_point at;
@@ -231,9 +247,14 @@
   void NoteLoad(const std::string& address,
                 const std::string& service,
                 uint32_t permille);
+  void NoteChain(const call& opened, const fbs::call_answerT& answer);
   void OnRefused(call* opened, reason why, bool local);
   void OnLost(call* opened, reason why, fbs::ran_state ran);
   bool MayRetry(call* opened, reason why);
+  std::vector<std::string> ChainOf(const call& opened) const;
+  void NoteEnd(const attempt& ended, bool failed);
+  double FailedShare(const std::string& address,
+                     const std::string& service) const;
   retry_budget& BudgetOf(const std::string& service);
   duration RetryAfter(const call& opened, reason why);
   void LogEnd(const call& ended, reason why, std::string_view ran, int status);
@@ -271,6 +292,11 @@
   std::map<std::string, uint64_t> links_;
   std::map<std::pair<std::string, std::string>, load_report> loads_;
   std::map<std::pair<std::string, std::string>, int> open_by_target_;
+  std::map<std::pair<std::string, std::string>, target_record> records_;
+  // Services behind the first one that requests of a route lead to, as answers
+  // told.
+  std::map<std::string, std::vector<std::string>> chains_;
+  std::function<void(const std::string& route)> local_call_;
   bool accepting_ = true;
   std::function<void()> drained_;
   reason_counters ended_;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -450,6 +450,8 @@
 
   entry->running = true;
   entry->started = now;
+  if (run_callback_)
+    run_callback_(entry->call.route, true);
   queue_time_.Observe(
       std::chrono::duration<double>(now - entry->arrived).count());
   answers_.Start(id);
@@ -704,6 +706,8 @@
     return;
   execution& entry = found->second;
   answer.credit_left = entry.call.credit;
+  if (entry.running && run_callback_)
+    run_callback_(entry.call.route, false);
   if (entry.running)
     answer.credit_left =
         static_cast<uint8_t>(contexts_.Revoke(id).credit.available());
@@ -720,7 +724,7 @@
     answer.loads.push_back(std::make_unique<fbs::load_levelT>(own));
   }
   if (downstream_loads_) {
-    for (const fbs::load_levelT& level : downstream_loads_(own.service))
+    for (const fbs::load_levelT& level : downstream_loads_(entry.call))
       answer.loads.push_back(std::make_unique<fbs::load_levelT>(level));
   }
   ended_.Increment(ReasonFromWire(answer.reason));
--- a/node/executor.h
+++ b/node/executor.h
@@ -124,12 +124,17 @@
   void OnSuspect(std::function<void(const fbs::suspectT&)> callback) {
     suspect_callback_ = std::move(callback);
   }
-  // Load levels of the services behind `service`, to be carried back with
-  // answers.
-  void SetDownstreamLoads(
-      std::function<std::vector<fbs::load_levelT>(const std::string&)> loads) {
+  // Load levels of the services behind a call, to be carried back with its
+  // answer.
+  void SetDownstreamLoads(std::function<std::vector<fbs::load_levelT>(
+                              const fbs::call_requestT& call)> loads) {
     downstream_loads_ = std::move(loads);
   }
+  // Told the route of each run when it starts and ends.
+  void OnRun(
+      std::function<void(const std::string& route, bool starts)> callback) {
+    run_callback_ = std::move(callback);
+  }
 
   size_t open_calls() const { return executions_.size(); }
 
@@ -220,8 +225,9 @@
   std::function<void()> drained_;
   std::function<void()> targets_changed_;
   std::function<void(const fbs::suspectT&)> suspect_callback_;
-  std::function<std::vector<fbs::load_levelT>(const std::string&)>
+  std::function<std::vector<fbs::load_levelT>(const fbs::call_requestT&)>
       downstream_loads_;
+  std::function<void(const std::string& route, bool starts)> run_callback_;
   timer_id announcement_timer_ = 0;
   reason_counters ended_;
   prometheus::Counter& handed_over_;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -17,6 +17,14 @@
 // reach.
 constexpr double kRetryShare = 0.04;
 
+// Under overload each kind of request keeps this share of its demand; the rules
+// of our users ask for a quarter of what all kinds get.
+constexpr double kFloorShare = 0.12;
+
+// Share of hand-overs that requests of callers get at a target while calls of
+// other targets wait there.
+constexpr double kNewShare = 0.15;
+
 constexpr duration kIdleCheck = std::chrono::milliseconds(20);
 
 peer_info SelfInfo(const hosted_node_options& options) {
@@ -39,6 +47,8 @@
   // Targets tell their slots, and a run's time says little about its target,
   // since it holds the time of the calls that the target makes.
   result.plugins.limit = "static";
+  result.plugins.admitted_wait = true;
+  result.plugins.new_share = kNewShare;
   result.announcement_limit = options.announcement_limit;
   result.dialect = options.dialect;
   result.track_suspects = false;
@@ -57,6 +67,8 @@
   result.open_requests_are_calls = true;
   result.retry_lost_runs = true;
   result.retry_share = kRetryShare;
+  result.admission.floor_share = kFloorShare;
+  result.admission.check_admitted = false;
   result.deadline_grace = std::chrono::milliseconds(20);
   return result;
 }
@@ -110,8 +122,17 @@
   directory_.OnMembersChanged([this] { OnMembersChanged(); });
   executor_.OnTargetsChanged(
       [this] { directory_.SetTargets(executor_.DescribeTargets()); });
-  executor_.SetDownstreamLoads([this](const std::string& service) {
-    return entry_.DownstreamLoads(service);
+  executor_.OnRun([this](const std::string& route, bool starts) {
+    if (starts)
+      calls_.OnRunStart(route, parts_.run_loop->Now());
+    else
+      calls_.OnRunEnd(route, parts_.run_loop->Now());
+  });
+  entry_.OnLocalCall([this](const std::string& route) {
+    calls_.OnCall(route, parts_.run_loop->Now());
+  });
+  executor_.SetDownstreamLoads([this](const fbs::call_requestT& call) {
+    return entry_.LoadsOfCalls(calls_.CallsOf(call.route));
   });
 }
 
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "decisions/call_estimator.h"
 #include "kernel/json.h"
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
@@ -115,6 +116,7 @@
   entry entry_;
   state_follower state_;
   token_service tokens_;
+  call_estimator calls_;
   bool draining_ = false;
   std::function<void()> drained_;
   timer_id drain_timer_ = 0;
--- a/node/node.cc
+++ b/node/node.cc
@@ -171,8 +171,8 @@
       [this] { members_.SetTargets(executor_.DescribeTargets()); });
   executor_.OnSuspect(
       [this](const fbs::suspectT& suspect) { SendToServicePeers(suspect); });
-  executor_.SetDownstreamLoads([this](const std::string& service) {
-    return entry_.DownstreamLoads(service);
+  executor_.SetDownstreamLoads([this](const fbs::call_requestT& call) {
+    return entry_.DownstreamLoads(call.service);
   });
   entry_.SetFreshness([this] { return IsConfigFresh(); });
   entry_.SetChildObserver(&executor_);
