Hold the load of deep services just above full at the door

Cause: a request waits at a deep service once for each of its calls; at two runs' wait a filing with a time-out of 800 ms fails while lookups with 6 s are served.

--- a/decisions/admission.cc
+++ b/decisions/admission.cc
@@ -75,7 +75,7 @@
   for (const double rate : state.demand)
     demand += rate;
   const double ratio =
-      state.level / (state.deep ? kChainTargetLoad : kTargetLoad);
+      state.level / (state.deep ? options_.chain_target_load : kTargetLoad);
   if (ratio > 1.0) {
     const double from = state.allowed
                             ? std::min(*state.allowed, state.passed_rate * 1.5)
--- a/decisions/admission.h
+++ b/decisions/admission.h
@@ -20,6 +20,10 @@
   // Least share of the requests of each class that passes, so that no kind of
   // request is starved by more important ones.
   double floor_share = 0;
+  // Load in permille of a service deeper in the chain at which the rate is
+  // held. Such services often have few slots, and the work done before them
+  // lets arrivals vary more; but each request may wait there many times.
+  uint32_t chain_target_load = 2000;
   // The rate falls to this share in one step at most.
   double largest_cut = 0.7;
   // Whether calls of admitted requests are counted and may be refused.
@@ -45,9 +49,6 @@
   // Load in permille at which the rate is held: full plus a short queue, which
   // keeps targets busy between two reports.
   static constexpr uint32_t kTargetLoad = 1300;
-  // The same for services deeper in the chain. They often have few slots, and
-  // the work done before them lets arrivals vary more.
-  static constexpr uint32_t kChainTargetLoad = 2000;
   // An admitted call is refused only above this load, because its parent's work
   // is lost with it.
   static constexpr uint32_t kAdmittedLoad = 6000;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -29,6 +29,10 @@
 // at the door goes on to call it for a while.
 constexpr double kLargestCut = 0.5;
 
+// Just above full: a request makes up to ten calls one after the other, and
+// waits each time.
+constexpr uint32_t kChainTargetLoad = 1150;
+
 constexpr duration kIdleCheck = std::chrono::milliseconds(20);
 
 peer_info SelfInfo(const hosted_node_options& options) {
@@ -74,6 +78,7 @@
   result.admission.floor_share = kFloorShare;
   result.admission.check_admitted = false;
   result.admission.largest_cut = kLargestCut;
+  result.admission.chain_target_load = kChainTargetLoad;
   result.deadline_grace = std::chrono::milliseconds(20);
   return result;
 }
