Hand over calls in the order of the time that their parents have left

Change: admitted calls are taken by deadline. Test: filings and lookups at a full target, in the order of arrival before.

--- a/decisions/fair_queue.cc
+++ b/decisions/fair_queue.cc
@@ -50,6 +50,7 @@
     queue->second.weight =
         std::clamp(call.weight, kLeastWeight, kLargestWeight);
     queue->second.numbers.insert(number);
+    queue->second.deadlines.emplace(call.deadline, number);
     numbers_[call.id] = number;
     by_expiry_.emplace(added.expiry, number);
     if (IsShortened(call))
@@ -128,6 +129,8 @@
     double deficit = 0;
     // In order of arrival.
     std::set<uint64_t> numbers;
+    // The same in order of deadline.
+    std::set<std::pair<time_point, uint64_t>> deadlines;
   };
 
   struct band {
@@ -213,6 +216,10 @@
       customer_queue& queue = from.customers.at(from.turns.front());
       if (queue.deficit >= 1.0) {
         queue.deficit -= 1.0;
+        // A call whose parent has little time left is lost first; the bound on
+        // waiting keeps the others from being late in their turn.
+        if (options_.admitted_wait && index % 2 == 1)
+          return queue.deadlines.begin()->second;
         const bool newest = Overloaded(now) && kNewestFirst[index];
         return newest ? *queue.numbers.rbegin() : *queue.numbers.begin();
       }
@@ -262,6 +269,7 @@
     band& from = bands_[taken.band];
     const auto queue = from.customers.find(taken.call.customer);
     queue->second.numbers.erase(number);
+    queue->second.deadlines.erase({taken.call.deadline, number});
     if (queue->second.numbers.empty()) {
       from.turns.remove(taken.call.customer);
       from.customers.erase(queue);
--- a/decisions/target_gate_test.cc
+++ b/decisions/target_gate_test.cc
@@ -298,5 +298,32 @@
   CHECK_TRUE(gate.waiting() <= 2 * 300 + 50);
 }
 
+// Load pattern: filings with a short time-out and lookups with a long one call
+// the same full service. Guards against filings that fail behind lookups which
+// could have waited.
+TEST(target_gate, CallsWithLittleTimeLeftGoFirst) {
+  service_config settings;
+  settings.max_limit = 1;
+  gate_plugins plugins;
+  plugins.limit = "static";
+  plugins.admitted_wait = true;
+  const time_point now{std::chrono::hours(1)};
+  target_gate gate(settings, now, plugins);
+  const int left_ms[] = {700, 690, 300, 500};
+  for (size_t i = 0; i < std::size(left_ms); ++i) {
+    gate_call call;
+    call.id = {1, i};
+    call.admitted = true;
+    call.deadline = now + milliseconds(left_ms[i]);
+    CHECK_FALSE(gate.Enqueue(call, now).has_value());
+  }
+  for (const uint64_t expected : {2U, 3U, 1U, 0U}) {
+    const auto next = gate.TakeNext(now);
+    CHECK_TRUE(next.has_value());
+    LONGS_EQUAL(expected, next->id.sequence);
+    gate.OnFinished(next->id, gate_result::kSuccess, now);
+  }
+}
+
 }  // namespace
 }  // namespace skylarkhoist
