Tell the load of each service of the chain in a request's line, and how to read it

Cause: a refusal at the door showed the load of the first service only (57 of 1000) while a deeper one was full. No change in decisions.

--- a/node/entry.cc
+++ b/node/entry.cc
@@ -324,6 +324,21 @@
   ClaimKey(number);
 }
 
+// "SERVICE=PERMILLE" for each service of the chain whose load is known.
+std::string entry::LevelsOf(const call& ended) const {
+  std::vector<std::string> services = ChainOf(ended);
+  services.insert(services.begin(), ended.service);
+  std::string text;
+  for (const std::string& service : services) {
+    const auto level = admission_.LevelOf(service, loop_->Now());
+    if (!level)
+      continue;
+    text += text.empty() ? "" : " ";
+    text += service + "=" + std::to_string(*level);
+  }
+  return text;
+}
+
 // The services behind the first one, by configuration or as learned.
 std::vector<std::string> entry::ChainOf(const call& opened) const {
   const auto learned = chains_.find(opened.route);
@@ -717,8 +732,7 @@
     line.Add("lost_runs", ended.runs);
     line.Add("took_ms", ToMilliseconds(now - ended.arrived));
     line.Add("config", static_cast<int64_t>(config_->offset));
-    if (const auto level = admission_.LevelOf(ended.service, now))
-      line.Add("load_permille", static_cast<int64_t>(*level));
+    line.Add("load_permille", LevelsOf(ended));
   });
 }
 
--- a/node/entry.h
+++ b/node/entry.h
@@ -255,6 +255,7 @@
   void OnLost(call* opened, reason why, fbs::ran_state ran);
   bool MayRetry(call* opened, reason why);
   std::vector<std::string> ChainOf(const call& opened) const;
+  std::string LevelsOf(const call& ended) const;
   void NoteEnd(const attempt& ended, bool failed);
   double FailedShare(const std::string& address,
                      const std::string& service) const;
