Read again soon after a change, since a read may not be woken by the next one

Ruled out: the cut (its nodes were behind no more than the others), lost links, processor time. Change: after a change a read waits 0.4 s, then twice as long each time up to 20 s. Test: hosted_node SeesAChangeWhoseReadsAreNotWoken fails with a first wait of 20 s. Also: messages about calls are dispatched in one place for both nodes, and the draw of an incarnation stands once.

--- a/cli/node_process.cc
+++ b/cli/node_process.cc
@@ -15,14 +15,6 @@
 // How long an open response may still take to leave the process at its end.
 constexpr duration kFlushTime = std::chrono::milliseconds(500);
 
-uint64_t DrawIncarnation() {
-  system_random random;
-  uint64_t drawn = 0;
-  while (drawn == 0)
-    drawn = random.Next();
-  return drawn;
-}
-
 tcp_transport_settings TransportSettings(const node_settings& settings,
                                          uint64_t incarnation) {
   tcp_transport_settings result;
--- a/kernel/system_random.h
+++ b/kernel/system_random.h
@@ -18,6 +18,15 @@
   std::random_device device_;
 };
 
+// A number for one run of a process: unpredictable and never 0.
+inline uint64_t DrawIncarnation() {
+  system_random random;
+  uint64_t drawn = 0;
+  while (drawn == 0)
+    drawn = random.Next();
+  return drawn;
+}
+
 }  // namespace skylarkhoist
 
 #endif  // KERNEL_SYSTEM_RANDOM_H_
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "kernel/log.h"
+#include "node/call_dispatch.h"
 
 namespace skylarkhoist {
 namespace {
@@ -164,18 +165,10 @@
 
 void hosted_node::OnPeerMessage(const peer_info& from,
                                 const fbs::envelopeT& message) {
+  if (DispatchCallMessage(from, message, &entry_, &executor_))
+    return;
   const fbs::payloadUnion& body = message.body;
-  if (const auto* call = body.Ascall_request())
-    executor_.HandleCall(from, *call);
-  else if (const auto* answer = body.Ascall_answer())
-    entry_.HandleAnswer(from, *answer);
-  else if (const auto* cancel = body.Ascall_cancel())
-    executor_.HandleCancel(*cancel);
-  else if (const auto* query = body.Ascall_query())
-    executor_.HandleQuery(from, *query);
-  else if (const auto* state = body.Ascall_state())
-    entry_.HandleState(from, *state);
-  else if (const auto* gossip = body.Asgossip())
+  if (const auto* gossip = body.Asgossip())
     directory_.HandleGossip(from, *gossip);
   else if (const auto* request = body.Asconfig_request())
     state_.HandleRequest(from.address, *request);
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -95,6 +95,22 @@
   CHECK_EQUAL(200, fleet.Ask(1, "/safe/x", "k1"));
 }
 
+// Guards against a change that no node sees: two changes come in quick
+// succession, and the reads that all nodes begin in between are not woken by
+// the second.
+TEST(hosted_node, SeesAChangeWhoseReadsAreNotWoken) {
+  Start();
+  fleet.Advance(seconds(40));
+  fleet.Publish("2 1000 k1 k2");
+  fleet.store().LoseWakeUps(true);
+  fleet.Advance(milliseconds(100));
+  fleet.Publish("3 1000 k2");
+  fleet.store().LoseWakeUps(false);
+  fleet.Advance(milliseconds(1500));
+  for (size_t i = 0; i < kMachines; ++i)
+    CHECK_EQUAL(3, fleet.node(i).state().version());
+}
+
 // Guards against a node that waits at offsets which the store has dropped, and
 // against a zone that stays out because the end of its evacuation was dropped
 // with the history.
--- a/node/state_follower.cc
+++ b/node/state_follower.cc
@@ -9,9 +9,13 @@
 namespace skylarkhoist {
 namespace {
 
-// How long one read waits for new records. Long, since each read has a price;
-// a connection that falls silent ends by its keep-alive probes.
-constexpr duration kReadWait = std::chrono::seconds(20);
+// How long one read waits for new records: at first after a change, and at
+// most. A read that reaches the store while a record is added may not be woken
+// by it; that happens after a change, when all nodes read on at the same time
+// and the next change comes soon. Later waits are long, since each read has a
+// price; a connection that falls silent ends by its keep-alive probes.
+constexpr duration kFirstReadWait = std::chrono::milliseconds(400);
+constexpr duration kLongestReadWait = std::chrono::seconds(20);
 
 // Between two reads, so that records that come in quick succession are read
 // together; well below the time in which a change must be in force.
@@ -73,7 +77,7 @@
 void state_follower::ReadOn() {
   store_reads_.Increment();
   store_->ReadFrom(
-      store_topic::kOperators, applied_, kReadWait,
+      store_topic::kOperators, applied_, read_wait_,
       [this, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
         if (!alive.expired())
           OnRead(result, false);
@@ -97,6 +101,9 @@
   store_answered_ = true;
   store_answered_at_ = loop_->Now();
   retry_delay_ = duration::zero();
+  read_wait_ = result->records.empty()
+                   ? std::min(read_wait_ * 2, kLongestReadWait)
+                   : kFirstReadWait;
   keyed_batch batch = *result;
   if (newest)
     AddDropped(&batch);
--- a/node/state_follower.h
+++ b/node/state_follower.h
@@ -85,6 +85,7 @@
   bool store_answers_ = true;
   bool store_answered_ = false;
   time_point store_answered_at_;
+  duration read_wait_ = std::chrono::milliseconds(400);
   duration retry_delay_ = duration::zero();
   timer_id retry_timer_ = 0;
   timer_id peer_timer_ = 0;
--- a/testing/memory_store.cc
+++ b/testing/memory_store.cc
@@ -45,7 +45,7 @@
         done(store->ReadOn(log, from));
         return;
       }
-      log.waiting.push_back({name, from, 0, done});
+      log.waiting.push_back({name, !store->lose_wake_ups_, from, done});
       store->loop_->RunAfter(wait, [store, topic, name, from] {
         auto& waiting = store->logs_[topic].waiting;
         for (auto each = waiting.begin(); each != waiting.end(); ++each) {
@@ -53,7 +53,7 @@
             continue;
           const auto timed_out = std::move(each->done);
           waiting.erase(each);
-          timed_out(keyed_batch{{}, from});
+          timed_out(store->ReadOn(store->logs_[topic], from));
           return;
         }
       });
@@ -130,8 +130,15 @@
 }
 
 void memory_store::WakeReaders(topic_log* log) {
-  for (waiting_read& each : std::exchange(log->waiting, {}))
-    each.done(ReadOn(*log, each.from));
+  std::vector<waiting_read> kept;
+  for (waiting_read& each : std::exchange(log->waiting, {})) {
+    if (each.wakes)
+      each.done(ReadOn(*log, each.from));
+    else
+      kept.push_back(std::move(each));
+  }
+  for (waiting_read& each : kept)
+    log->waiting.push_back(std::move(each));
 }
 
 keyed_batch memory_store::ReadOn(const topic_log& log, uint64_t from) const {
--- a/testing/memory_store.h
+++ b/testing/memory_store.h
@@ -32,6 +32,9 @@
   // Requests of this client are refused while it is not reachable, also those
   // that wait.
   void SetReachable(const std::string& client, bool reachable);
+  // Reads that begin to wait now are not woken by later writes; they end with
+  // their time.
+  void LoseWakeUps(bool lose) { lose_wake_ups_ = lose; }
   // The next writes of all clients take effect, but their answers are lost.
   void LoseWriteAnswers(bool lose) { lose_answers_ = lose; }
   void SetDelay(duration delay) { delay_ = delay; }
@@ -53,8 +56,8 @@
 
   struct waiting_read {
     std::string client;
+    bool wakes = true;
     uint64_t from = 0;
-    timer_id timeout = 0;
     keyed_store::read_callback done;
   };
   struct topic_log {
@@ -71,6 +74,7 @@
   loop* loop_;
   duration delay_ = std::chrono::milliseconds(4);
   bool lose_answers_ = false;
+  bool lose_wake_ups_ = false;
   std::set<std::string> unreachable_;
   std::map<store_topic, topic_log> logs_;
   uint64_t calls_ = 0;
