Pack what goes between zones, without the bodies

Ruled out: one deflate stream over whole frames, since bodies push the header fields out of its window. Change: frames between zones share one deflate stream for each direction of a connection; the body goes beside it.

--- a/wire/frame.cc
+++ b/wire/frame.cc
@@ -5,6 +5,8 @@
 #include <cstring>
 #include <utility>
 
+#include "wire/little_endian.h"
+
 namespace skylarkhoist {
 namespace {
 
@@ -24,22 +26,6 @@
 // Payloads that once needed more than this give the memory back.
 constexpr size_t kKeptEncoderBytes = size_t{256} << 10U;
 
-template <typename number>
-number ReadLittleEndian(const uint8_t* bytes) {
-  number value = 0;
-  for (size_t index = sizeof(number); index-- > 0;)
-    value = static_cast<number>(value << 8U) | bytes[index];
-  return value;
-}
-
-template <typename number>
-void WriteLittleEndian(number value, uint8_t* bytes) {
-  for (size_t index = 0; index < sizeof(number); ++index) {
-    bytes[index] = static_cast<uint8_t>(value);
-    value = static_cast<number>(value >> 8U);
-  }
-}
-
 // Adds up what a message needs once it is unpacked. Tables and strings of a
 // faulty payload may refer to the same bytes many times, so that a small frame
 // unpacks to more than the memory of the machine; an encoder of this project
@@ -129,6 +115,14 @@
   bool exceeded_ = false;
 };
 
+// The body of a call or of its answer, or null.
+const flatbuffers::Vector<uint8_t>* BodyOf(const fbs::envelope& message) {
+  if (const auto* request = message.body_as_call_request())
+    return request->body();
+  const auto* answer = message.body_as_call_answer();
+  return answer == nullptr ? nullptr : answer->body();
+}
+
 }  // namespace
 
 std::string_view LabelOf(frame_error error) {
@@ -152,9 +146,10 @@
                                                          size_t max_payload) {
   if (std::memcmp(bytes + 4, kMagic.data(), kMagic.size()) != 0)
     return tl::unexpected(frame_error::kBadMagic);
-  if (bytes[7] < kMinFrameVersion || bytes[7] > kFrameVersion)
+  if (bytes[7] != kFrameVersion && bytes[7] != kPackedFrameVersion)
     return tl::unexpected(frame_error::kVersion);
   frame_header header;
+  header.packed = bytes[7] == kPackedFrameVersion;
   header.length = ReadLittleEndian<uint32_t>(bytes);
   header.checksum = ReadLittleEndian<uint64_t>(bytes + 8);
   if (header.length > max_payload)
@@ -211,6 +206,10 @@
       failed_ = header.error();
       break;
     }
+    if (header->packed) {
+      failed_ = frame_error::kVersion;
+      break;
+    }
     if (buffered() < kFrameHeaderSize + header->length)
       return std::nullopt;
     auto message = DecodePayload(*header, bytes + kFrameHeaderSize);
@@ -237,7 +236,10 @@
     return std::nullopt;
   const uint8_t* payload = builder_.GetBufferPointer();
   const size_t size = builder_.GetSize();
-  return frame{MakeFrameHeader(payload, size), payload, size};
+  const auto* body = BodyOf(*fbs::Getenvelope(payload));
+  return frame{MakeFrameHeader(payload, size), payload, size,
+               body == nullptr ? 0 : static_cast<size_t>(body->Data() - payload),
+               body == nullptr ? 0 : body->size()};
 }
 
 frame_header_bytes MakeFrameHeader(const uint8_t* payload, size_t size) {
@@ -249,6 +251,14 @@
   return header;
 }
 
+frame_header_bytes MakePackedHeader(const frame_header_bytes& plain,
+                                    uint32_t size) {
+  frame_header_bytes header = plain;
+  WriteLittleEndian<uint32_t>(size, header.data());
+  header[7] = kPackedFrameVersion;
+  return header;
+}
+
 std::string EncodeFrame(const fbs::envelopeT& message) {
   frame_encoder encoder;
   const auto frame = encoder.Encode(message);
--- a/wire/frame.h
+++ b/wire/frame.h
@@ -22,7 +22,9 @@
 //   bytes 8-15  XXH64 of the payload, little endian
 constexpr size_t kFrameHeaderSize = 16;
 constexpr uint8_t kFrameVersion = 1;
-constexpr uint8_t kMinFrameVersion = 1;
+// Version of packed frames (wire/frame_packer.h). Their checksum is that of the
+// plain payload.
+constexpr uint8_t kPackedFrameVersion = 2;
 
 // The largest HTTP body that a node accepts is 8 MiB; 64 KiB are for the rest
 // of the message.
@@ -47,6 +49,7 @@
 struct frame_header {
   uint32_t length = 0;
   uint64_t checksum = 0;
+  bool packed = false;
 };
 
 // Reads a header from kFrameHeaderSize bytes. Fails on a payload length above
@@ -62,7 +65,7 @@
     const frame_header& header,
     const uint8_t* payload);
 
-// Decodes a stream of bytes that arrives in pieces of any size:
+// Decodes a stream of plain frames that arrives in pieces of any size:
 //
 //   decoder.Feed(piece);
 //   while (true) {
@@ -101,6 +104,10 @@
     // Valid until the next Encode.
     const uint8_t* payload;
     size_t size;
+    // Where the body of a call or answer lies in the payload; 0 and 0 when there
+    // is none.
+    size_t body_at;
+    size_t body_size;
   };
 
   // Returns nothing when the message is larger than `max_payload`.
@@ -114,6 +121,10 @@
 // The header for a payload.
 frame_header_bytes MakeFrameHeader(const uint8_t* payload, size_t size);
 
+// The same for a frame that was packed to a payload of `size` bytes.
+frame_header_bytes MakePackedHeader(const frame_header_bytes& plain,
+                                    uint32_t size);
+
 // One frame as a string; empty when the message is too large.
 std::string EncodeFrame(const fbs::envelopeT& message);
 
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -1282,6 +1282,7 @@
   std::string zone{};
   std::string peer_address{};
   uint64_t incarnation = 0;
+  bool reads_packed = false;
 };
 
 struct hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1295,7 +1296,8 @@
     VT_NODE = 10,
     VT_ZONE = 12,
     VT_PEER_ADDRESS = 14,
-    VT_INCARNATION = 16
+    VT_INCARNATION = 16,
+    VT_READS_PACKED = 18
   };
   uint16_t min_version() const {
     return GetField<uint16_t>(VT_MIN_VERSION, 0);
@@ -1318,6 +1320,9 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  bool reads_packed() const {
+    return GetField<uint8_t>(VT_READS_PACKED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_MIN_VERSION, 2) &&
@@ -1331,6 +1336,7 @@
            VerifyOffset(verifier, VT_PEER_ADDRESS) &&
            verifier.VerifyString(peer_address()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_READS_PACKED, 1) &&
            verifier.EndTable();
   }
   helloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1363,6 +1369,9 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(hello::VT_INCARNATION, incarnation, 0);
   }
+  void add_reads_packed(bool reads_packed) {
+    fbb_.AddElement<uint8_t>(hello::VT_READS_PACKED, static_cast<uint8_t>(reads_packed), 0);
+  }
   explicit helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1382,7 +1391,8 @@
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> peer_address = 0,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    bool reads_packed = false) {
   helloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_peer_address(peer_address);
@@ -1391,6 +1401,7 @@
   builder_.add_cluster(cluster);
   builder_.add_max_version(max_version);
   builder_.add_min_version(min_version);
+  builder_.add_reads_packed(reads_packed);
   return builder_.Finish();
 }
 
@@ -1407,7 +1418,8 @@
     const char *node = nullptr,
     const char *zone = nullptr,
     const char *peer_address = nullptr,
-    uint64_t incarnation = 0) {
+    uint64_t incarnation = 0,
+    bool reads_packed = false) {
   auto cluster__ = cluster ? _fbb.CreateString(cluster) : 0;
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -1420,7 +1432,8 @@
       node__,
       zone__,
       peer_address__,
-      incarnation);
+      incarnation,
+      reads_packed);
 }
 
 flatbuffers::Offset<hello> Createhello(flatbuffers::FlatBufferBuilder &_fbb, const helloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5703,7 +5716,8 @@
       (lhs.node == rhs.node) &&
       (lhs.zone == rhs.zone) &&
       (lhs.peer_address == rhs.peer_address) &&
-      (lhs.incarnation == rhs.incarnation);
+      (lhs.incarnation == rhs.incarnation) &&
+      (lhs.reads_packed == rhs.reads_packed);
 }
 
 inline bool operator!=(const helloT &lhs, const helloT &rhs) {
@@ -5727,6 +5741,7 @@
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = peer_address(); if (_e) _o->peer_address = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = reads_packed(); _o->reads_packed = _e; }
 }
 
 inline flatbuffers::Offset<hello> hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const helloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5744,6 +5759,7 @@
   auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   auto _peer_address = _o->peer_address.empty() ? 0 : _fbb.CreateString(_o->peer_address);
   auto _incarnation = _o->incarnation;
+  auto _reads_packed = _o->reads_packed;
   return skylarkhoist::fbs::Createhello(
       _fbb,
       _min_version,
@@ -5752,7 +5768,8 @@
       _node,
       _zone,
       _peer_address,
-      _incarnation);
+      _incarnation,
+      _reads_packed);
 }
 
 
--- a/wire/tcp_transport.cc
+++ b/wire/tcp_transport.cc
@@ -31,6 +31,9 @@
 // loop spinning.
 constexpr auto kAcceptPause = std::chrono::milliseconds(100);
 
+// Larger messages are mostly body, which is not packed.
+constexpr size_t kMaxPackedMessage = 1U << 20U;
+
 // Bounds the memory for refused peers that were logged already.
 constexpr size_t kMaxLoggedRefusals = 256;
 
@@ -63,6 +66,10 @@
   time_point last_received;
   uint64_t counter = 0;
   uint64_t last_counter = 0;
+  // Set once the peer has said that it unpacks.
+  std::unique_ptr<frame_packer> packer;
+  // Made with the first packed frame.
+  std::unique_ptr<frame_unpacker> unpacker;
 
   ~connection() {
     if (stream != nullptr)
@@ -113,6 +120,7 @@
                             "late; silence is not judged then")),
       open_links_(
           counters->Gauge("skylarkhoist_peer_links", "Links that are up")) {
+  settings_.hello.reads_packed = true;
   for (size_t index = 0; index < static_cast<size_t>(frame_error::kCount);
        ++index) {
     const auto label = skylarkhoist::LabelOf(static_cast<frame_error>(index));
@@ -206,12 +214,26 @@
     CloseLink(target, link_down_cause::kClosed, /*deferred=*/true);
     return;
   }
-  evbuffer_add(buffer, frame->header.data(), frame->header.size());
-  evbuffer_add(buffer, frame->payload, frame->size);
+  if (target->up) {
+    Write(*target->output, *frame);
+  } else {
+    evbuffer_add(buffer, frame->header.data(), frame->header.size());
+    evbuffer_add(buffer, frame->payload, frame->size);
+  }
   Use(*target, message);
   frames_sent_.Increment();
 }
 
+void tcp_transport::Write(connection& to, const frame_encoder::frame& frame) {
+  if (to.packer != nullptr && frame.size <= kMaxPackedMessage) {
+    const std::string packed = to.packer->Pack(frame);
+    bufferevent_write(to.stream, packed.data(), packed.size());
+    return;
+  }
+  bufferevent_write(to.stream, frame.header.data(), frame.header.size());
+  bufferevent_write(to.stream, frame.payload, frame.size);
+}
+
 tcp_transport::connection_pointer tcp_transport::AddConnection(int fd) {
   auto added = std::make_shared<connection>();
   added->owner = this;
@@ -311,9 +333,11 @@
     const size_t size = kFrameHeaderSize + header->length;
     if (available < size)
       return;
-    const uint8_t* frame =
-        evbuffer_pullup(input, static_cast<ev_ssize_t>(size));
-    const auto message = DecodePayload(*header, frame + kFrameHeaderSize);
+    const uint8_t* payload =
+        evbuffer_pullup(input, static_cast<ev_ssize_t>(size)) +
+        kFrameHeaderSize;
+    const auto message = header->packed ? DecodePacked(*from, *header, payload)
+                                        : DecodePayload(*header, payload);
     if (!message) {
       OnFrameError(from, message.error());
       return;
@@ -327,6 +351,21 @@
   }
 }
 
+tl::expected<std::optional<fbs::envelopeT>, frame_error>
+tcp_transport::DecodePacked(connection& from,
+                            frame_header header,
+                            const uint8_t* payload) {
+  if (!from.ready)
+    return tl::unexpected(frame_error::kVersion);
+  if (from.unpacker == nullptr)
+    from.unpacker = std::make_unique<frame_unpacker>();
+  const auto plain = from.unpacker->Unpack(payload, header.length);
+  if (!plain)
+    return tl::unexpected(plain.error());
+  header.length = static_cast<uint32_t>(plain->size());
+  return DecodePayload(header, plain->data());
+}
+
 void tcp_transport::OnFrameError(const connection_pointer& from,
                                  frame_error error) {
   frame_errors_[static_cast<size_t>(error)]->Increment();
@@ -416,6 +455,9 @@
   if (from->dialled.empty())
     --unknown_connections_;
   from->ready = true;
+  if (settings_.pack_between_zones && hello.reads_packed &&
+      hello.zone != own.zone)
+    from->packer = std::make_unique<frame_packer>();
   if (from->peer_link == nullptr) {
     from->peer_link = joined;
     joined->connections.push_back(from);
@@ -579,11 +621,8 @@
       continue;
     heartbeat.counter = ++each->counter;
     heartbeat.echo = each->last_counter;
-    if (const auto frame = encoder_.Encode(envelope)) {
-      bufferevent_write(each->stream, frame->header.data(),
-                        frame->header.size());
-      bufferevent_write(each->stream, frame->payload, frame->size);
-    }
+    if (const auto frame = encoder_.Encode(envelope))
+      Write(*each, *frame);
   }
 }
 
--- a/wire/tcp_transport.h
+++ b/wire/tcp_transport.h
@@ -16,6 +16,7 @@
 #include "kernel/findings.h"
 #include "kernel/metrics.h"
 #include "wire/frame.h"
+#include "wire/frame_packer.h"
 #include "wire/peer_transport.h"
 
 struct bufferevent;
@@ -46,6 +47,8 @@
   // Bytes that may wait on one link, including those that wait for its
   // connection. Above this bound the link is closed.
   size_t max_send_buffer = 32U << 20U;
+  // Packs what goes to nodes of other zones, where the peer can unpack it.
+  bool pack_between_zones = false;
   // Connections that were accepted but have not said Hello.
   size_t max_unknown_connections = 4096;
 };
@@ -95,6 +98,11 @@
   link_pointer Dial(const std::string& address);
   void OnReadable(const connection_pointer& from);
   void OnEvent(const connection_pointer& from, short what);
+  // Unpacks and decodes a payload that came on `from`.
+  static tl::expected<std::optional<fbs::envelopeT>, frame_error> DecodePacked(
+      connection& from,
+      frame_header header,
+      const uint8_t* payload);
   void OnFrameError(const connection_pointer& from, frame_error error);
   void HandleMessage(const connection_pointer& from,
                      const fbs::envelopeT& message);
@@ -110,6 +118,8 @@
                  bool deferred);
   void FlushReports();
   void Release(const connection_pointer& closed);
+  // Writes a frame to a connection, packed where that is agreed.
+  static void Write(connection& to, const frame_encoder::frame& frame);
   // Starts or extends the use of a link.
   void Use(link& used, const fbs::envelopeT& message);
   void Beat();
--- a/wire/tcp_transport_test.cc
+++ b/wire/tcp_transport_test.cc
@@ -70,8 +70,10 @@
   peer(event_loop* loop,
        const fbs::helloT& hello,
        const std::string& address = "127.0.0.1:0",
-       size_t max_send_buffer = 32U << 20U) {
+       size_t max_send_buffer = 32U << 20U,
+       bool pack_between_zones = false) {
     tcp_transport_settings settings;
+    settings.pack_between_zones = pack_between_zones;
     settings.listen_address = address;
     settings.hello = hello;
     settings.heartbeat_interval = milliseconds(20);
@@ -105,6 +107,34 @@
   event_loop loop;
 };
 
+// Guards against a peer that packs what the other end cannot follow: frames
+// from before the link was up are plain, heartbeats come in between.
+TEST(tcp_transport, LinksBetweenZonesArePacked) {
+  fbs::helloT far = HelloOf("far", 2);
+  far.zone = "other zone";
+  peer one(&loop, HelloOf("one", 1), "127.0.0.1:0", 32U << 20U, true);
+  peer two(&loop, far, "127.0.0.1:0", 32U << 20U, true);
+  for (uint64_t sequence = 1; sequence <= 20; ++sequence)
+    one.transport->Send(two.address(), Numbered(sequence, sequence * 100));
+  CHECK_TRUE(RunUntil(loop, [&] { return two.seen.messages.size() == 20; }));
+  for (uint64_t sequence = 21; sequence <= 40; ++sequence) {
+    one.transport->Send(two.address(), Numbered(sequence, sequence * 100));
+    two.transport->Send(one.address(), Numbered(sequence));
+    RunFor(loop, milliseconds(5));
+  }
+  CHECK_TRUE(RunUntil(loop, [&] {
+    return two.seen.messages.size() == 40 && one.seen.messages.size() == 20;
+  }));
+  for (uint64_t sequence = 1; sequence <= 40; ++sequence) {
+    const fbs::envelopeT& message = two.seen.messages[sequence - 1].second;
+    CHECK_TRUE(message == Numbered(sequence, sequence * 100));
+  }
+  CHECK_TRUE(one.seen.heartbeats > 0 && two.seen.heartbeats > 0);
+  DOUBLES_EQUAL(
+      0, two.Count("skylarkhoist_peer_links_down_total", {{"cause", "closed"}}),
+      0);
+}
+
 // Guards against lost or reordered messages, and against a second connection
 // for the way back.
 TEST(tcp_transport, OneLinkServesBothDirectionsInOrder) {
