Hold deep services at what they bear, and serve a target while its node stops

A stopping node also takes its target out of service from the first moment, for about five seconds. Change: admission gets a pressure in which waiting calls count by the time that they take and a cold target is full at its rate; growth is as strong as the cut around the target load. A stopping node gives calls to its target for 1.5 s more.

--- a/decisions/admission.cc
+++ b/decisions/admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace skylarkhoist {
 namespace {
@@ -33,6 +34,17 @@
   return std::chrono::duration<double>(value).count();
 }
 
+double Growth(double ratio) {
+  return std::clamp(1.0 + (1.0 - ratio) * 0.8, kSmallestGrowth, kLargestGrowth);
+}
+
+// As strong as the cut on the other side: what a step lets in is seen there only
+// after two or three more steps, and a stronger gain makes the rate swing.
+double DeepGrowth(double ratio) {
+  return std::clamp(std::sqrt(1.0 / std::max(ratio, 0.01)), kSmallestGrowth,
+                    kLargestChainGrowth);
+}
+
 }  // namespace
 
 void admission::OnLoad(const std::string& service,
@@ -84,10 +96,7 @@
         std::clamp(1.0 - (ratio - 1.0) * 0.5, options_.largest_cut, 1.0);
     state.allowed = std::max({from * cut, demand * kProbeShare, 1.0});
   } else if (state.allowed) {
-    const double growth = std::clamp(
-        1.0 + (1.0 - ratio) * (state.deep ? 1.6 : 0.8), kSmallestGrowth,
-        state.deep ? kLargestChainGrowth : kLargestGrowth);
-    *state.allowed *= growth;
+    *state.allowed *= state.deep ? DeepGrowth(ratio) : Growth(ratio);
     if (*state.allowed > std::max(demand, state.passed_rate) * kUnlimitedAt)
       state.allowed.reset();
   }
--- a/decisions/target_gate.cc
+++ b/decisions/target_gate.cc
@@ -124,4 +124,22 @@
                                static_cast<size_t>(limit_->Limit()));
 }
 
+uint32_t target_gate::PressurePermille(time_point now) const {
+  const auto waiting = static_cast<double>(queue_->size());
+  const double drain = std::chrono::duration<double>(kDrainTime).count();
+  double used = 0;
+  if (cold_.IsCold(now)) {
+    used = (cold_.HasRoom(now) ? 0.0 : 1.0) +
+           waiting / (settings_.cold_per_second * drain);
+  } else {
+    // Before the first run a waiting call counts as much as a running one.
+    const double run = usual_run_ == duration::zero()
+                           ? drain
+                           : std::chrono::duration<double>(usual_run_).count();
+    used = (static_cast<double>(running_.size()) + waiting * run / drain) /
+           limit_->Limit();
+  }
+  return static_cast<uint32_t>(used * 1000);
+}
+
 }  // namespace skylarkhoist
--- a/decisions/target_gate.h
+++ b/decisions/target_gate.h
@@ -1,6 +1,7 @@
 #ifndef DECISIONS_TARGET_GATE_H_
 #define DECISIONS_TARGET_GATE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -96,6 +97,13 @@
   // Load in permille of the limit, counting waiting calls; 1000 means full.
   uint32_t LoadPermille() const;
 
+  // The same for the control of admission, where a waiting call counts by the
+  // time that the target needs for it: 1000 more mean that what waits takes
+  // kDrainTime. A target that is cold is full at the rate that it bears.
+  uint32_t PressurePermille(time_point now) const;
+
+  static constexpr duration kDrainTime = std::chrono::milliseconds(250);
+
  private:
   struct running_call {
     time_point started;
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -532,7 +532,7 @@
   const time_point now = loop_->Now();
   for (const auto& level : answer.loads) {
     if (level != nullptr)
-      admission_.OnLoad(level->service, level->permille, now);
+      admission_.OnLoad(level->service, level->pressure, now);
   }
   const auto found = attempts_.find(FromWire(answer.id));
   call* opened = found == attempts_.end() ? nullptr : FindCall(found->second);
@@ -911,7 +911,7 @@
   for (const std::string& service : services) {
     fbs::load_levelT level;
     level.service = service;
-    level.permille = admission_.LevelOf(service, loop_->Now()).value_or(0);
+    level.pressure = admission_.LevelOf(service, loop_->Now()).value_or(0);
     levels.push_back(std::move(level));
   }
   return levels;
@@ -924,12 +924,12 @@
   if (found == config_->services.end())
     return levels;
   for (const std::string& next : found->second.calls) {
-    const auto permille = admission_.LevelOf(next, loop_->Now());
-    if (!permille)
+    const auto pressure = admission_.LevelOf(next, loop_->Now());
+    if (!pressure)
       continue;
     fbs::load_levelT level;
     level.service = next;
-    level.permille = *permille;
+    level.pressure = *pressure;
     levels.push_back(std::move(level));
   }
   return levels;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -727,6 +727,7 @@
   if (target != targets_.end()) {
     const target_gate& gate = *target->second.gate;
     own.permille = gate.LoadPermille();
+    own.pressure = gate.PressurePermille(loop_->Now());
     own.run_us = static_cast<uint32_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(gate.UsualRun())
             .count());
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -1,5 +1,6 @@
 #include "node/hosted_node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "kernel/log.h"
@@ -207,18 +208,28 @@
   LogStateChange("node", "draining",
                  {{"node", options_.name},
                   {"open_requests", std::to_string(entry_.open_calls())}});
-  directory_.SetDraining();
-  executor_.StopAccepting();
-  // Callers come until they have noticed that this node is not ready; they are
-  // served through the targets of the others. The local target's calls are
-  // served to the end.
-  const time_point limit = parts_.run_loop->Now() + options_.drain_limit;
-  drain_timer_ = parts_.run_loop->RunAfter(options_.drain_grace, [this, limit] {
+  const duration first = std::min(options_.target_grace, options_.drain_grace);
+  drain_timer_ = parts_.run_loop->RunAfter(first, [this] {
     drain_timer_ = 0;
-    WaitUntilIdle(limit);
+    ReleaseTarget();
   });
 }
 
+// From now on other targets serve. Callers come until they have noticed that
+// this node is not ready; the local target's calls are served to the end.
+void hosted_node::ReleaseTarget() {
+  directory_.SetDraining();
+  executor_.StopAccepting();
+  const duration taken = std::min(options_.target_grace, options_.drain_grace);
+  const time_point limit =
+      parts_.run_loop->Now() + (options_.drain_limit - taken);
+  drain_timer_ = parts_.run_loop->RunAfter(options_.drain_grace - taken,
+                                           [this, limit] {
+                                             drain_timer_ = 0;
+                                             WaitUntilIdle(limit);
+                                           });
+}
+
 // From the moment at which nothing is open, new requests are refused: the
 // process ends before it could answer them.
 void hosted_node::WaitUntilIdle(time_point limit) {
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -40,6 +40,9 @@
   // How long a node that stops goes on taking requests, so that callers have
   // noticed that it is not ready.
   duration drain_grace = std::chrono::milliseconds(2500);
+  // How long it goes on giving calls to its target, which no other node reaches.
+  // What is left of the grace then is for the runs in progress.
+  duration target_grace = std::chrono::milliseconds(1500);
   // When a node that stops refuses requests although it has never been idle.
   duration drain_limit = std::chrono::seconds(4);
 };
@@ -105,6 +108,7 @@
   fbs::heartbeatT MakeHeartbeat() override;
 
   void OnMembersChanged();
+  void ReleaseTarget();
   void WaitUntilIdle(time_point limit);
   void FinishDrain();
 
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -317,6 +317,24 @@
   CHECK_TRUE(answers.size() > 5);
 }
 
+// Load pattern: the nodes beside the few targets of a deep service are restarted
+// one after the other under full load. Guards against a target that serves
+// nobody from the beginning of the stop.
+TEST(hosted_node, AStoppingNodeServesItsTargetMeanwhile) {
+  Start();
+  bool drained = false;
+  fleet.node(0).Drain([&] { drained = true; });
+  const int64_t before = fleet.runs(0).runs;
+  CHECK_EQUAL(50, Load({1}, 50, seconds(1)));
+  CHECK_TRUE(fleet.runs(0).runs - before >= 20);
+  // The grace that is left is for the runs in progress.
+  const int64_t at_end = fleet.runs(0).runs;
+  CHECK_EQUAL(20, Load({1}, 20, seconds(1)));
+  CHECK_EQUAL(at_end, fleet.runs(0).runs);
+  fleet.Advance(seconds(3));
+  CHECK_TRUE(drained);
+}
+
 // Guards against nodes that never find each other because the store was away
 // when they started.
 TEST(hosted_node, FindsTheOthersOnceTheStoreIsBack) {
--- a/testing/overload_model.cc
+++ b/testing/overload_model.cc
@@ -584,7 +584,8 @@
   const auto found = node.hops.find(id);
   const outcome_callback answer = std::move(found->second.answer);
   node.hops.erase(found);
-  result.loads.emplace_back(node.service, node.gate->LoadPermille());
+  result.loads.emplace_back(node.service,
+                            node.gate->PressurePermille(loop_.Now()));
   const size_t child = shape_.services[node.service].child;
   if (child != kNoChild) {
     if (const auto level =
