Take from a call's id which run makes it: chains at once, and the rank of the run

Ruled out: fitting calls to runs while calls wait, since their number then follows what the target bears. Change: where the id of a call begins with the id of a run of the local target, the run is known. The calls of each route are counted exactly from the first one on, a call ranks at least like its run, and an entry keeps a service in a chain for 5 s, since targets that have just started tell a part. Ids that tell nothing leave the estimate by time in force.

--- a/decisions/admission.cc
+++ b/decisions/admission.cc
@@ -38,8 +38,8 @@
   return std::clamp(1.0 + (1.0 - ratio) * 0.8, kSmallestGrowth, kLargestGrowth);
 }
 
-// As strong as the cut on the other side: what a step lets in is seen there only
-// after two or three more steps, and a stronger gain makes the rate swing.
+// As strong as the cut on the other side: what a step lets in is seen there
+// only after two or three more steps, and a stronger gain makes the rate swing.
 double DeepGrowth(double ratio) {
   return std::clamp(std::sqrt(1.0 / std::max(ratio, 0.01)), kSmallestGrowth,
                     kLargestChainGrowth);
--- a/decisions/deep_overload_test.cc
+++ b/decisions/deep_overload_test.cc
@@ -188,8 +188,7 @@
   service.Take();
   service.Offer(60, 60, seconds(4));
   const auto counts = service.Take();
-  CHECK_TRUE(counts.failed <=
-             0.25 * (counts.offered[0] + counts.offered[2]));
+  CHECK_TRUE(counts.failed <= 0.25 * (counts.offered[0] + counts.offered[2]));
 }
 
 }  // namespace
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -14,6 +14,10 @@
 // Load reports of single targets are used for routing this long.
 constexpr duration kLoadReportAge = std::chrono::seconds(2);
 
+// A service belongs to the chain of a route for this long after an answer told
+// so. Answers of targets that have just started tell a part of the chain.
+constexpr duration kChainAge = std::chrono::seconds(5);
+
 // Lines of one node about ended requests, a second.
 constexpr double kLoggedRequests = 100;
 
@@ -154,10 +158,25 @@
       SetCustomer(opened, owner->second);
   } else {
     opened->admitted = options_.open_requests_are_calls;
-    if (opened->admitted && local_call_)
-      local_call_(route->name);
   }
-  return Prepare(opened, *route);
+  const auto refused = Prepare(opened, *route);
+  if (opened->admitted)
+    NoteLocalCall(opened, *route);
+  return refused;
+}
+
+// A call never ranks below the request during which it is made: what was done
+// for that one is lost with it.
+void entry::NoteLocalCall(call* opened, const route_config& route) {
+  const fbs::call_requestT* parent =
+      find_run_ && !opened->facts.parent_id.empty()
+          ? find_run_(opened->facts.parent_id)
+          : nullptr;
+  if (parent != nullptr)
+    opened->rank = std::max(
+        opened->rank, static_cast<priority_class>(parent->priority_class));
+  if (local_call_)
+    local_call_(route.name, parent == nullptr ? std::string() : parent->route);
 }
 
 std::optional<reason> entry::CheckOwnKey(call* opened) {
@@ -341,14 +360,25 @@
 
 // The services behind the first one, by configuration or as learned.
 std::vector<std::string> entry::ChainOf(const call& opened) const {
-  const auto learned = chains_.find(opened.route);
-  if (learned != chains_.end())
-    return learned->second;
+  if (chains_.count(opened.route) > 0)
+    return LearnedChain(opened.route);
   const auto service = config_->services.find(opened.service);
   return service == config_->services.end() ? std::vector<std::string>()
                                             : service->second.calls;
 }
 
+std::vector<std::string> entry::LearnedChain(const std::string& route) const {
+  std::vector<std::string> services;
+  const auto learned = chains_.find(route);
+  if (learned == chains_.end())
+    return services;
+  for (const auto& [service, told] : learned->second) {
+    if (loop_->Now() - told < kChainAge)
+      services.push_back(service);
+  }
+  return services;
+}
+
 // A request that may not be repeated needs its idempotency key before it may
 // run.
 void entry::ClaimKey(entry_call_id number) {
@@ -586,12 +616,11 @@
 void entry::NoteChain(const call& opened, const fbs::call_answerT& answer) {
   if (answer.outcome != fbs::outcome::kAnswered || opened.route.empty())
     return;
-  std::vector<std::string>& chain = chains_[opened.route];
-  chain.clear();
+  std::map<std::string, time_point>& chain = chains_[opened.route];
   for (size_t i = 1; i < answer.loads.size(); ++i) {
     if (answer.loads[i] != nullptr &&
         answer.loads[i]->service != opened.service)
-      chain.push_back(answer.loads[i]->service);
+      chain[answer.loads[i]->service] = loop_->Now();
   }
 }
 
@@ -903,9 +932,8 @@
     if (route == config_->routes.end())
       continue;
     services.insert(route->second.service);
-    const auto chain = chains_.find(name);
-    if (chain != chains_.end())
-      services.insert(chain->second.begin(), chain->second.end());
+    for (const std::string& behind : LearnedChain(name))
+      services.insert(behind);
   }
   std::vector<fbs::load_levelT> levels;
   for (const std::string& service : services) {
--- a/node/entry.h
+++ b/node/entry.h
@@ -150,11 +150,21 @@
   // Calls wait at the targets of this route's service.
   bool IsServiceFull(const std::string& route) const;
 
-  // Told the route of each call of the local target.
-  void OnLocalCall(std::function<void(const std::string& route)> callback) {
+  // Told the route of each call of the local target, and that of the run which
+  // makes it; empty when the run is not known.
+  void OnLocalCall(
+      std::function<void(const std::string& route,
+                         const std::string& parent_route)> callback) {
     local_call_ = std::move(callback);
   }
 
+  // Gives the run of the local target whose caller named it so, or null.
+  void SetRuns(
+      std::function<const fbs::call_requestT*(const std::string& caller_id)>
+          find) {
+    find_run_ = std::move(find);
+  }
+
   // Refuses new requests from callers from now on. Child calls go on, since
   // they belong to requests in progress.
   void StopAccepting() { accepting_ = false; }
@@ -251,10 +261,12 @@
                 const std::string& service,
                 uint32_t permille);
   void NoteChain(const call& opened, const fbs::call_answerT& answer);
+  void NoteLocalCall(call* opened, const route_config& route);
   void OnRefused(call* opened, reason why, bool local);
   void OnLost(call* opened, reason why, fbs::ran_state ran);
   bool MayRetry(call* opened, reason why);
   std::vector<std::string> ChainOf(const call& opened) const;
+  std::vector<std::string> LearnedChain(const std::string& route) const;
   std::string LevelsOf(const call& ended) const;
   void NoteEnd(const attempt& ended, bool failed);
   double FailedShare(const std::string& address,
@@ -297,10 +309,13 @@
   std::map<std::pair<std::string, std::string>, load_report> loads_;
   std::map<std::pair<std::string, std::string>, int> open_by_target_;
   std::map<std::pair<std::string, std::string>, target_record> records_;
-  // Services behind the first one that requests of a route lead to, as answers
-  // told.
-  std::map<std::string, std::vector<std::string>> chains_;
-  std::function<void(const std::string& route)> local_call_;
+  // Services behind the first one that requests of a route lead to, and when an
+  // answer last told so.
+  std::map<std::string, std::map<std::string, time_point>> chains_;
+  std::function<void(const std::string& route, const std::string& parent_route)>
+      local_call_;
+  std::function<const fbs::call_requestT*(const std::string& caller_id)>
+      find_run_;
   bool accepting_ = true;
   std::function<void()> drained_;
   reason_counters ended_;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -455,6 +455,9 @@
   facts.target_id = target->announced.id;
   facts.context_token = contexts_.Issue(std::move(context));
   facts.time_left = entry->deadline - now;
+  entry->caller_id = options_.dialect->Read(request).caller_id;
+  if (!entry->caller_id.empty())
+    runs_[entry->caller_id] = id;
   options_.dialect->AddForTarget(facts, &request.headers);
   request.body.assign(entry->call.body.begin(), entry->call.body.end());
 
@@ -718,6 +721,9 @@
   answer.credit_left = entry.call.credit;
   if (entry.running && run_callback_)
     run_callback_(entry.call.route, false);
+  const auto run = runs_.find(entry.caller_id);
+  if (run != runs_.end() && run->second == id)
+    runs_.erase(run);
   if (entry.running)
     answer.credit_left =
         static_cast<uint8_t>(contexts_.Revoke(id).credit.available());
@@ -779,6 +785,12 @@
   });
 }
 
+const fbs::call_requestT* executor::FindRun(
+    const std::string& caller_id) const {
+  const auto run = runs_.find(caller_id);
+  return run == runs_.end() ? nullptr : &executions_.at(run->second).call;
+}
+
 std::string executor::CallerIdOf(const fbs::call_requestT& call) const {
   http_request request;
   request.headers = skylarkhoist::FromWire(call.headers);
--- a/node/executor.h
+++ b/node/executor.h
@@ -136,6 +136,9 @@
     run_callback_ = std::move(callback);
   }
 
+  // The run of the request that its caller names `caller_id`, or null.
+  const fbs::call_requestT* FindRun(const std::string& caller_id) const;
+
   size_t open_calls() const { return executions_.size(); }
 
  private:
@@ -156,6 +159,8 @@
     request_id id;
     peer_info origin;
     fbs::call_requestT call;
+    // Set when it runs; empty when the caller gave none.
+    std::string caller_id;
     std::string target;
     time_point deadline;
     time_point arrived;
@@ -218,6 +223,8 @@
   answer_cache<fbs::call_answerT> answers_;
   target_map targets_;
   std::unordered_map<request_id, execution, request_id_hash> executions_;
+  // Those that run, by the caller's id.
+  std::unordered_map<std::string, request_id> runs_;
   // Calls with suspect fingerprints that wait for their trial.
   std::vector<request_id> parked_;
   timer_id parked_timer_ = 0;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -134,19 +134,19 @@
   directory_.OnMembersChanged([this] { OnMembersChanged(); });
   executor_.OnTargetsChanged(
       [this] { directory_.SetTargets(executor_.DescribeTargets()); });
-  executor_.OnRun([this](const std::string& route, bool starts) {
-    if (starts)
-      calls_.OnRunStart(route, parts_.run_loop->Now());
-    else
-      calls_.OnRunEnd(route, parts_.run_loop->Now());
-  });
-  entry_.OnLocalCall([this](const std::string& route) {
-    if (entry_.IsServiceFull(route))
-      calls_.SkipInterval();
-    calls_.OnCall(route, parts_.run_loop->Now());
+  executor_.OnRun(
+      [this](const std::string& route, bool starts) { OnRun(route, starts); });
+  entry_.OnLocalCall(
+      [this](const std::string& route, const std::string& parent_route) {
+        OnLocalCall(route, parent_route);
+      });
+  entry_.SetRuns([this](const std::string& caller_id) {
+    return executor_.FindRun(caller_id);
   });
   executor_.SetDownstreamLoads([this](const fbs::call_requestT& call) {
-    return entry_.LoadsOfCalls(calls_.CallsOf(call.route));
+    return entry_.LoadsOfCalls(counted_calls_.has_calls()
+                                   ? counted_calls_.CallsOf(call.route)
+                                   : estimated_calls_.CallsOf(call.route));
   });
 }
 
@@ -160,6 +160,26 @@
   state_.Start();
 }
 
+void hosted_node::OnRun(const std::string& route, bool starts) {
+  if (starts) {
+    counted_calls_.OnRun(route);
+    estimated_calls_.OnRunStart(route, parts_.run_loop->Now());
+  } else {
+    estimated_calls_.OnRunEnd(route, parts_.run_loop->Now());
+  }
+}
+
+void hosted_node::OnLocalCall(const std::string& route,
+                              const std::string& parent_route) {
+  if (!parent_route.empty()) {
+    counted_calls_.OnCall(parent_route, route);
+    return;
+  }
+  if (entry_.IsServiceFull(route))
+    estimated_calls_.SkipInterval();
+  estimated_calls_.OnCall(route, parts_.run_loop->Now());
+}
+
 void hosted_node::OnMembersChanged() {
   tokens_.SetMembers(directory_.LiveNodes(), directory_.HasMajority());
 }
@@ -223,11 +243,11 @@
   const duration taken = std::min(options_.target_grace, options_.drain_grace);
   const time_point limit =
       parts_.run_loop->Now() + (options_.drain_limit - taken);
-  drain_timer_ = parts_.run_loop->RunAfter(options_.drain_grace - taken,
-                                           [this, limit] {
-                                             drain_timer_ = 0;
-                                             WaitUntilIdle(limit);
-                                           });
+  drain_timer_ =
+      parts_.run_loop->RunAfter(options_.drain_grace - taken, [this, limit] {
+        drain_timer_ = 0;
+        WaitUntilIdle(limit);
+      });
 }
 
 // From the moment at which nothing is open, new requests are refused: the
@@ -286,6 +306,7 @@
                        {"targets", targets}});
   }
   status["members"] = members;
+  status["calls"] = counted_calls_.ToJson();
   return status;
 }
 
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "decisions/call_counter.h"
 #include "decisions/call_estimator.h"
 #include "kernel/json.h"
 #include "kernel/loop.h"
@@ -40,9 +41,9 @@
   // How long a node that stops goes on taking requests, so that callers have
   // noticed that it is not ready.
   duration drain_grace = std::chrono::milliseconds(2500);
-  // How long it goes on giving calls to its target, which no other node reaches.
-  // What is left of the grace then is for the runs in progress.
-  duration target_grace = std::chrono::milliseconds(1500);
+  // How long it goes on giving calls to its target, which no other node
+  // reaches. What is left of the grace then is for the runs in progress.
+  duration target_grace = std::chrono::milliseconds(2200);
   // When a node that stops refuses requests although it has never been idle.
   duration drain_limit = std::chrono::seconds(4);
 };
@@ -108,6 +109,8 @@
   fbs::heartbeatT MakeHeartbeat() override;
 
   void OnMembersChanged();
+  void OnRun(const std::string& route, bool starts);
+  void OnLocalCall(const std::string& route, const std::string& parent_route);
   void ReleaseTarget();
   void WaitUntilIdle(time_point limit);
   void FinishDrain();
@@ -120,7 +123,9 @@
   entry entry_;
   state_follower state_;
   token_service tokens_;
-  call_estimator calls_;
+  // Calls that tell their run, and calls that don't.
+  call_counter counted_calls_;
+  call_estimator estimated_calls_;
   bool draining_ = false;
   std::function<void()> drained_;
   timer_id drain_timer_ = 0;
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/platform_dialect.h"
 #include "testing/hosted_fleet.h"
 
 namespace skylarkhoist {
@@ -317,9 +318,28 @@
   CHECK_TRUE(answers.size() > 5);
 }
 
-// Load pattern: the nodes beside the few targets of a deep service are restarted
-// one after the other under full load. Guards against a target that serves
-// nobody from the beginning of the stop.
+// Load pattern: the fleet starts into a deep service that is full, so few
+// requests get beyond their first call. Guards against a door that learns which
+// requests lead there only once there is room, and against calls of important
+// requests that wait behind others.
+TEST(hosted_node, CallsTellWhichRequestsLeadToAService) {
+  hosted_fleet named{kMachines, 1, &PlatformDialect()};
+  named.Publish("1 1000 k1 k2");
+  // Until targets that have just appeared get their full share.
+  named.Advance(seconds(6));
+  named.targets().SlowDown(named.target(0), 50, seconds(10));
+  const auto parent = named.Send(0, "/safe/x", "k1", "a1");
+  named.Advance(milliseconds(100));
+  const auto call = named.Send(0, "/inner/x", "", "a1.b2");
+  named.Advance(milliseconds(100));
+  CHECK_EQUAL(200, call->response->status);
+  const json calls = named.node(0).Status()["calls"];
+  STRCMP_EQUAL("{\"safe\":[\"inner\"]}", calls.dump().c_str());
+}
+
+// Load pattern: the nodes beside the few targets of a deep service are
+// restarted one after the other under full load. Guards against a target that
+// serves nobody from the beginning of the stop.
 TEST(hosted_node, AStoppingNodeServesItsTargetMeanwhile) {
   Start();
   bool drained = false;
@@ -328,6 +348,7 @@
   CHECK_EQUAL(50, Load({1}, 50, seconds(1)));
   CHECK_TRUE(fleet.runs(0).runs - before >= 20);
   // The grace that is left is for the runs in progress.
+  fleet.Advance(milliseconds(300));
   const int64_t at_end = fleet.runs(0).runs;
   CHECK_EQUAL(20, Load({1}, 20, seconds(1)));
   CHECK_EQUAL(at_end, fleet.runs(0).runs);
--- a/node/request_dialect.h
+++ b/node/request_dialect.h
@@ -17,6 +17,9 @@
   std::string host;
   // The caller's own id of the request, for logs; empty when it gave none.
   std::string caller_id;
+  // The caller's id of the request during which a target makes this one; empty
+  // when it is not told.
+  std::string parent_id;
   // Whole text of the key; empty when there is none.
   std::string key;
   // How long the caller waits for the answer.
--- a/testing/hosted_fleet.cc
+++ b/testing/hosted_fleet.cc
@@ -59,8 +59,13 @@
   return operator_record(std::move(result));
 }
 
-hosted_fleet::hosted_fleet(size_t machines, uint64_t seed)
-    : random_(seed), network_(&loop_, &random_), targets_(loop_, seed) {
+hosted_fleet::hosted_fleet(size_t machines,
+                           uint64_t seed,
+                           const request_dialect* dialect)
+    : dialect_(dialect),
+      random_(seed),
+      network_(&loop_, &random_),
+      targets_(loop_, seed) {
   machines_.resize(machines);
   for (size_t i = 0; i < machines; ++i) {
     fake_target_options options;
@@ -103,6 +108,7 @@
   options.name = "n" + std::to_string(index);
   options.zone = zone(index);
   options.peer_address = address(index);
+  options.dialect = dialect_;
   options.local_service = started.announced.service;
   options.incarnation = ++next_incarnation_;
   started.client = store_.Connect(options.name);
@@ -155,13 +161,16 @@
 std::shared_ptr<hosted_fleet::answer> hosted_fleet::Send(
     size_t index,
     const std::string& path,
-    const std::string& key) {
+    const std::string& key,
+    const std::string& id) {
   auto kept = std::make_shared<answer>();
   http_request request;
   request.method = "GET";
   request.path = path;
   if (!key.empty())
     request.headers.Add("Authorization", "Bearer " + key);
+  if (!id.empty())
+    request.headers.Add("X-Request-Id", id);
   node(index).HandleRequest(
       std::move(request),
       [kept](const http_response& response) { kept->response = response; });
--- a/testing/hosted_fleet.h
+++ b/testing/hosted_fleet.h
@@ -34,7 +34,9 @@
 // that announces itself each second.
 class hosted_fleet {
  public:
-  hosted_fleet(size_t machines, uint64_t seed);
+  hosted_fleet(size_t machines,
+               uint64_t seed,
+               const request_dialect* dialect = &OwnDialect());
   ~hosted_fleet();
 
   void Publish(const std::string& value) {
@@ -46,9 +48,11 @@
   struct answer {
     std::optional<http_response> response;
   };
+  // `id` is what the caller names its request, where the dialect has ids.
   std::shared_ptr<answer> Send(size_t index,
                                const std::string& path,
-                               const std::string& key);
+                               const std::string& key,
+                               const std::string& id = "");
   // Sends and runs the loop for `wait`; status 0 when there is no answer.
   int Ask(size_t index,
           const std::string& path,
@@ -86,6 +90,7 @@
 
   void AnnounceAll();
 
+  const request_dialect* dialect_;
   manual_loop loop_;
   mt_random random_;
   memory_network network_;
--- a/wire/frame.cc
+++ b/wire/frame.cc
@@ -237,9 +237,10 @@
   const uint8_t* payload = builder_.GetBufferPointer();
   const size_t size = builder_.GetSize();
   const auto* body = BodyOf(*fbs::Getenvelope(payload));
-  return frame{MakeFrameHeader(payload, size), payload, size,
-               body == nullptr ? 0 : static_cast<size_t>(body->Data() - payload),
-               body == nullptr ? 0 : body->size()};
+  return frame{
+      MakeFrameHeader(payload, size), payload, size,
+      body == nullptr ? 0 : static_cast<size_t>(body->Data() - payload),
+      body == nullptr ? 0 : body->size()};
 }
 
 frame_header_bytes MakeFrameHeader(const uint8_t* payload, size_t size) {
--- a/wire/frame.h
+++ b/wire/frame.h
@@ -104,8 +104,8 @@
     // Valid until the next Encode.
     const uint8_t* payload;
     size_t size;
-    // Where the body of a call or answer lies in the payload; 0 and 0 when there
-    // is none.
+    // Where the body of a call or answer lies in the payload; 0 and 0 when
+    // there is none.
     size_t body_at;
     size_t body_size;
   };
--- a/wire/tcp_transport.h
+++ b/wire/tcp_transport.h
@@ -99,10 +99,8 @@
   void OnReadable(const connection_pointer& from);
   void OnEvent(const connection_pointer& from, short what);
   // Unpacks and decodes a payload that came on `from`.
-  static tl::expected<std::optional<fbs::envelopeT>, frame_error> DecodePacked(
-      connection& from,
-      frame_header header,
-      const uint8_t* payload);
+  static tl::expected<std::optional<fbs::envelopeT>, frame_error>
+  DecodePacked(connection& from, frame_header header, const uint8_t* payload);
   void OnFrameError(const connection_pointer& from, frame_error error);
   void HandleMessage(const connection_pointer& from,
                      const fbs::envelopeT& message);
