Rank requests by customer first and by route second, calls like their run

Calls have routes of the highest rank and were all critical. Change: nine ranks, the customer's class first and the route's second; a call whose run is known has its rank. Critical routes of any customer keep the longer wait and the earlier return. The number in messages between nodes changes with it. Tests fail first: deep_overload with a customer's class, and the order of ranks.

--- a/decisions/admission.cc
+++ b/decisions/admission.cc
@@ -70,7 +70,7 @@
   const double seconds = Seconds(elapsed);
   // After a pause the old averages say nothing.
   const double share = elapsed > kMaxAge ? 1.0 : 0.5;
-  for (size_t rank = 0; rank < kClasses; ++rank) {
+  for (size_t rank = 0; rank < kPriorityLevels; ++rank) {
     state.demand[rank] +=
         share * (state.arrived[rank] / seconds - state.demand[rank]);
   }
@@ -106,7 +106,7 @@
   if (!state.allowed)
     return 1.0;
   double left = *state.allowed;
-  for (size_t higher = kClasses; --higher > rank;)
+  for (size_t higher = kPriorityLevels; --higher > rank;)
     left -= state.demand[higher];
   if (left <= 0)
     return 0.0;
@@ -131,7 +131,7 @@
 bool admission::HigherRefused(const service_state& state,
                               size_t rank,
                               time_point now) {
-  for (size_t higher = rank + 1; higher < kClasses; ++higher) {
+  for (size_t higher = rank + 1; higher < kPriorityLevels; ++higher) {
     if (now - state.refused[higher] < kClassHold)
       return true;
   }
@@ -174,8 +174,7 @@
     } else if (HigherRefused(*state, index, now)) {
       refuse = true;
     } else if (draw >= PassShare(*state, index) &&
-               (rank != priority_class::kCritical ||
-                !LowerPassed(*state, index, now))) {
+               (!IsCriticalRoute(rank) || !LowerPassed(*state, index, now))) {
       refuse = !MayProbe(*state, now);
       if (!refuse)
         state->last_probe = now;
--- a/decisions/admission.h
+++ b/decisions/admission.h
@@ -39,7 +39,7 @@
 //
 // For each service it holds the rate that this node may send. The rate falls
 // while the reported load is above kTargetLoad and rises below it. Within the
-// rate, critical calls go first, then normal, then browse. Without a report
+// rate, calls of a higher rank go first. Without a report
 // younger than kMaxAge there is no limit.
 class admission {
  public:
@@ -79,8 +79,6 @@
                                   time_point now) const;
 
  private:
-  static constexpr size_t kClasses = 3;
-
   struct service_state {
     // Average of the reports, weighted towards the recent ones.
     double level = 0;
@@ -90,16 +88,16 @@
     // Calls a second; nothing while the service is not limited.
     std::optional<double> allowed;
     // Arrivals and passed calls of the current interval.
-    std::array<int, kClasses> arrived{};
+    std::array<int, kPriorityLevels> arrived{};
     int passed = 0;
     // Calls a second, averaged over some intervals.
-    std::array<double, kClasses> demand{};
+    std::array<double, kPriorityLevels> demand{};
     double passed_rate = 0;
     time_point interval_start;
     time_point last_probe;
     // When a new call of each class was last refused, and last passed.
-    std::array<time_point, kClasses> refused;
-    std::array<time_point, kClasses> passed_at;
+    std::array<time_point, kPriorityLevels> refused;
+    std::array<time_point, kPriorityLevels> passed_at;
   };
 
   void Adjust(service_state& state, time_point now) const;
--- a/decisions/deep_overload_test.cc
+++ b/decisions/deep_overload_test.cc
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <queue>
 #include <utility>
 #include <vector>
@@ -29,8 +30,10 @@
 // target, one after the other. A request whose call is refused has failed.
 class deep_service {
  public:
-  explicit deep_service(double cold_per_second = 0)
-      : gate_(Settings(cold_per_second), now_, Plugins()),
+  explicit deep_service(double cold_per_second = 0,
+                        std::optional<priority_class> customer = std::nullopt)
+      : customer_(customer),
+        gate_(Settings(cold_per_second), now_, Plugins()),
         door_(DoorOptions()) {}
 
   void SetCold(duration length) { gate_.SetCold(now_ + length, now_); }
@@ -44,7 +47,7 @@
       due[2] += critical / 1000.0;
       for (size_t rank = 0; rank < due.size(); ++rank) {
         for (; due[rank] >= 1.0; due[rank] -= 1.0)
-          Arrive(static_cast<priority_class>(rank));
+          Arrive(rank);
       }
       Finish();
       Serve();
@@ -61,7 +64,7 @@
 
  private:
   struct request {
-    priority_class rank;
+    size_t rank;
     int calls_left = kCallsPerRequest;
   };
 
@@ -87,9 +90,10 @@
     return options;
   }
 
-  void Arrive(priority_class rank) {
-    ++counts_.offered[static_cast<size_t>(rank)];
-    if (door_.Check("bookings", {"calendar"}, rank, false, now_, random_))
+  void Arrive(size_t rank) {
+    ++counts_.offered[rank];
+    if (door_.Check("bookings", {"calendar"}, RankOf(customer_, kRoutes[rank]),
+                    false, now_, random_))
       return;
     const uint64_t number = next_++;
     requests_[number] = {rank};
@@ -126,7 +130,7 @@
         Call(number);
         continue;
       }
-      ++counts_.served[static_cast<size_t>(parent.rank)];
+      ++counts_.served[parent.rank];
       requests_.erase(number);
     }
   }
@@ -145,6 +149,11 @@
     return number;
   }
 
+  static constexpr std::array<priority_class, 3> kRoutes = {
+      priority_class::kBrowse, priority_class::kNormal,
+      priority_class::kCritical};
+
+  std::optional<priority_class> customer_;
   time_point now_{std::chrono::hours(1)};
   mt_random random_{7};
   target_gate gate_;
@@ -164,17 +173,41 @@
 // a short wait there. Guards against a door that takes them for a long one and
 // shuts out what the service would bear, and most of all what matters most.
 TEST(deep_overload, TheDeepServiceStaysBusyAndCriticalRequestsPass) {
-  deep_service service;
-  service.Offer(20, 20, seconds(2));
-  service.Offer(120, 80, seconds(2));
-  service.Take();
-  service.Offer(120, 80, seconds(8));
-  const auto counts = service.Take();
-  const double served = counts.served[0] + counts.served[2];
-  CHECK_TRUE(served >= 0.95 * kCapacity * 8);
-  // Critical requests alone are four fifths of what the service bears.
-  CHECK_TRUE(counts.served[2] >= 0.85 * counts.offered[2]);
-  CHECK_TRUE(counts.failed <= 0.1 * served);
+  // Without a class of the customer, and with one that all its requests have.
+  for (const auto customer :
+       {std::optional<priority_class>(),
+        std::optional<priority_class>(priority_class::kNormal)}) {
+    deep_service service(0, customer);
+    service.Offer(20, 20, seconds(2));
+    service.Offer(120, 80, seconds(2));
+    service.Take();
+    service.Offer(120, 80, seconds(8));
+    const auto counts = service.Take();
+    const double served = counts.served[0] + counts.served[2];
+    CHECK_TRUE(served >= 0.95 * kCapacity * 8);
+    // Critical requests alone are four fifths of what the service bears.
+    CHECK_TRUE(counts.served[2] >= 0.85 * counts.offered[2]);
+    CHECK_TRUE(counts.failed <= 0.1 * served);
+  }
+}
+
+// Guards against ranks that are shed in another order than that of customers
+// first and routes second.
+TEST(deep_overload, ACustomersClassGoesBeforeThatOfTheRoute) {
+  constexpr std::array<priority_class, 3> kNamed = {priority_class::kBrowse,
+                                                    priority_class::kNormal,
+                                                    priority_class::kCritical};
+  size_t level = 0;
+  for (const priority_class customer : kNamed) {
+    CHECK_TRUE(RankOf(std::nullopt, customer) == customer);
+    CHECK_TRUE(RankOf(customer, customer) == customer);
+    for (const priority_class route : kNamed) {
+      const priority_class rank = RankOf(customer, route);
+      LONGS_EQUAL(level++, static_cast<size_t>(rank));
+      CHECK_TRUE(IsCriticalRoute(rank) == (route == priority_class::kCritical));
+    }
+  }
+  LONGS_EQUAL(kPriorityLevels, level);
 }
 
 // Load pattern: a deep service comes back cold under full load, and bears few
--- a/decisions/fair_queue.cc
+++ b/decisions/fair_queue.cc
@@ -110,12 +110,15 @@
   void Update(const queue_options& options) override { options_ = options; }
 
  private:
-  // Class times two, plus one for admitted calls.
-  static constexpr size_t kBands = 6;
-  // Bands that turn to newest first under lasting overload. Admitted calls stay
-  // in order, since those that time out lose their parents' work.
-  static constexpr std::array<bool, kBands> kNewestFirst = {
-      true, false, true, false, false, false};
+  // Rank times two, plus one for admitted calls.
+  static constexpr size_t kBands = kPriorityLevels * 2;
+
+  // Whether a band turns to newest first under lasting overload. Admitted calls
+  // stay in order, since those that time out lose their parents' work.
+  static constexpr bool TurnsToNewest(size_t band) {
+    return band % 2 == 0 &&
+           !IsCriticalRoute(static_cast<priority_class>(band / 2));
+  }
 
   struct item {
     gate_call call;
@@ -185,7 +188,7 @@
   }
 
   static bool IsShortened(const gate_call& call) {
-    return call.rank != priority_class::kCritical && !call.admitted;
+    return !IsCriticalRoute(call.rank) && !call.admitted;
   }
 
   duration ShortBound() const { return options_.bound / kOverloadShare; }
@@ -220,7 +223,7 @@
         // waiting keeps the others from being late in their turn.
         if (options_.admitted_wait && index % 2 == 1)
           return queue.deadlines.begin()->second;
-        const bool newest = Overloaded(now) && kNewestFirst[index];
+        const bool newest = Overloaded(now) && TurnsToNewest(index);
         return newest ? *queue.numbers.rbegin() : *queue.numbers.begin();
       }
       queue.deficit += queue.weight;
--- a/decisions/request_types.h
+++ b/decisions/request_types.h
@@ -1,8 +1,10 @@
 #ifndef DECISIONS_REQUEST_TYPES_H_
 #define DECISIONS_REQUEST_TYPES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -30,8 +32,33 @@
   }
 };
 
-// In the order in which requests are shed: the last is shed last.
-enum class priority_class : uint8_t { kBrowse, kNormal, kCritical };
+// In the order in which requests are shed: the last is shed last. A customer
+// with a class of its own goes before or behind others with all its requests,
+// and among its requests the class of the route decides; RankOf gives the
+// values between the named ones.
+enum class priority_class : uint8_t { kBrowse = 0, kNormal = 4, kCritical = 8 };
+
+constexpr size_t kPriorityLevels = 9;
+
+// The rank of a request. `customer` is the class of its customer, if that has
+// one; both must be named values.
+constexpr priority_class RankOf(std::optional<priority_class> customer,
+                                priority_class route) {
+  constexpr uint8_t kStep = static_cast<uint8_t>(priority_class::kNormal);
+  constexpr uint8_t kClasses = 3;
+  const auto index = [](priority_class named) {
+    return static_cast<uint8_t>(static_cast<uint8_t>(named) / kStep);
+  };
+  return static_cast<priority_class>(
+      index(customer.value_or(route)) * kClasses + index(route));
+}
+
+// Whether the route of a request of this rank is critical.
+constexpr bool IsCriticalRoute(priority_class rank) {
+  return rank == RankOf(priority_class::kBrowse, priority_class::kCritical) ||
+         rank == RankOf(priority_class::kNormal, priority_class::kCritical) ||
+         rank == priority_class::kCritical;
+}
 
 }  // namespace skylarkhoist
 
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -165,16 +165,15 @@
   return refused;
 }
 
-// A call never ranks below the request during which it is made: what was done
-// for that one is lost with it.
+// A call ranks like the request during which it is made: what was done for that
+// one is lost with it.
 void entry::NoteLocalCall(call* opened, const route_config& route) {
   const fbs::call_requestT* parent =
       find_run_ && !opened->facts.parent_id.empty()
           ? find_run_(opened->facts.parent_id)
           : nullptr;
   if (parent != nullptr)
-    opened->rank = std::max(
-        opened->rank, static_cast<priority_class>(parent->priority_class));
+    opened->rank = static_cast<priority_class>(parent->priority_class);
   if (local_call_)
     local_call_(route.name, parent == nullptr ? std::string() : parent->route);
 }
@@ -210,10 +209,11 @@
   opened->route = route.name;
   opened->service = route.split.empty() ? route.service
                                         : splits_[route.name].Pick(route.split);
-  opened->rank = route.rank;
   const auto customer = config_->customers.find(opened->customer);
-  if (customer != config_->customers.end())
-    opened->rank = customer->second.rank.value_or(opened->rank);
+  opened->rank =
+      RankOf(customer == config_->customers.end() ? std::nullopt
+                                                  : customer->second.rank,
+             route.rank);
   opened->repeatable = route.repeatable;
   opened->max_runs = route.max_attempts;
   opened->regions = route.regions;
@@ -734,7 +734,7 @@
 duration entry::RetryAfter(const call& opened, reason why) {
   if (opened.target_at == time_point::max() || why == reason::kRateLimited)
     return options_.retry_after;
-  const double share = opened.rank == priority_class::kCritical ? 0.15 : 0.35;
+  const double share = IsCriticalRoute(opened.rank) ? 0.15 : 0.35;
   const double spread = 0.75 + 0.5 * random_->Fraction();
   return std::chrono::duration_cast<duration>(
       (opened.target_at - opened.arrived) * (share * spread));
