Bound ranks from the wire, and index the model's counts by class

A rank from a damaged message of a peer would have done the same in the tables of admission, since only the gate bounded it. Change: one function bounds ranks from the wire; the model counts by class. Ruled out: a fault of the decisions; the same tests passed with the three ranks and pass now with their bounds unchanged. Test: hosted_node ARankAboveTheHighestBecomesTheHighest; overload_model failed first.

--- a/node/call_types.h
+++ b/node/call_types.h
@@ -25,6 +25,9 @@
 http_headers FromWire(
     const std::vector<std::unique_ptr<fbs::headerT>>& headers);
 
+// A rank above the highest becomes the highest.
+priority_class RankFromWire(uint8_t rank);
+
 // XXH64 of a body; stands in each call and answer, so that a damaged one is
 // found end to end.
 uint64_t BodyChecksum(const std::vector<uint8_t>& body);
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -173,7 +173,7 @@
           ? find_run_(opened->facts.parent_id)
           : nullptr;
   if (parent != nullptr)
-    opened->rank = static_cast<priority_class>(parent->priority_class);
+    opened->rank = RankFromWire(parent->priority_class);
   if (local_call_)
     local_call_(route.name, parent == nullptr ? std::string() : parent->route);
 }
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -359,9 +359,7 @@
   }
   gate_call waiting;
   waiting.id = id;
-  waiting.rank = static_cast<priority_class>(
-      std::min<uint8_t>(entry.call.priority_class,
-                        static_cast<uint8_t>(priority_class::kCritical)));
+  waiting.rank = RankFromWire(entry.call.priority_class);
   waiting.admitted = entry.call.admitted;
   waiting.customer = entry.call.customer;
   waiting.weight = entry.call.weight_permille / 1000.0;
@@ -441,7 +439,7 @@
   context.key_id = entry->call.key_id;
   context.deadline = entry->deadline;
   context.credit = retry_credit(entry->call.credit);
-  context.rank = static_cast<priority_class>(entry->call.priority_class);
+  context.rank = RankFromWire(entry->call.priority_class);
   context.depth = entry->call.depth;
   context.weight = entry->call.weight_permille / 1000.0;
 
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -364,6 +364,15 @@
   STRCMP_EQUAL("{\"safe\":[\"inner\"]}", calls.dump().c_str());
 }
 
+// Guards against a rank in a damaged message that is taken for a place in a
+// table.
+TEST(hosted_node, ARankAboveTheHighestBecomesTheHighest) {
+  CHECK_TRUE(RankFromWire(250) == priority_class::kCritical);
+  CHECK_TRUE(RankFromWire(8) == priority_class::kCritical);
+  CHECK_TRUE(RankFromWire(5) ==
+             RankOf(priority_class::kNormal, priority_class::kCritical));
+}
+
 // Load pattern: the nodes beside the few targets of a deep service are
 // restarted one after the other under full load. Guards against a target that
 // serves nobody from the beginning of the stop.
--- a/testing/overload_model.cc
+++ b/testing/overload_model.cc
@@ -26,6 +26,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Callers of the model have one of the three named classes.
+size_t IndexOf(priority_class named) {
+  return static_cast<size_t>(named) /
+         static_cast<size_t>(priority_class::kNormal);
+}
+
 constexpr size_t kNoChild = std::numeric_limits<size_t>::max();
 constexpr int kZones = 3;
 // Shares of the load; the largest customer sends six times the smallest's.
@@ -348,7 +354,7 @@
         ++buckets_[(made->sent - start_) / kBucket].sent;
         if (Measuring()) {
           ++totals_.sent[made->customer];
-          ++totals_.sent_by_class[static_cast<size_t>(made->rank)];
+          ++totals_.sent_by_class[IndexOf(made->rank)];
         }
         Send(made);
         loop_.RunAfter(kCallerDeadline, [this, made] { End(made, false); });
@@ -443,7 +449,7 @@
   if (of->sent < measure_from_ || of->sent >= measure_until_)
     return;
   ++totals_.good[of->customer];
-  ++totals_.good_by_class[static_cast<size_t>(of->rank)];
+  ++totals_.good_by_class[IndexOf(of->rank)];
   totals_.latencies.push_back(Seconds(loop_.Now() - of->sent));
 }
 
