--- a/node/store_config_follower.cc
+++ b/node/store_config_follower.cc
@@ -71,8 +71,14 @@
   return has_read_store_ ? now - last_store_answer_ : duration::max();
 }
 
+int64_t store_config_follower::StoreAgeMs() const {
+  return has_read_store_ ? ToMilliseconds(loop_->Now() - last_store_answer_)
+                         : -1;
+}
+
 void store_config_follower::ReadNewest() {
   store_reads_.Increment();
+  read_started_at_ = loop_->Now();
   store_->ReadNewest(
       store_topic::kOperators,
       [this, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
@@ -83,6 +89,7 @@
 
 void store_config_follower::ReadNext() {
   store_reads_.Increment();
+  read_started_at_ = loop_->Now();
   store_->ReadFrom(
       store_topic::kOperators, applied_offset_, poll_wait_,
       [this, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
@@ -103,7 +110,8 @@
   }
   if (!store_available_)
     LogStateChange("state", "store_regained",
-                   {{"applied", std::to_string(applied_offset_)}});
+                   {{"applied", std::to_string(applied_offset_)},
+                    {"store_age_ms", std::to_string(StoreAgeMs())}});
   store_available_ = true;
   has_read_store_ = true;
   last_store_answer_ = loop_->Now();
@@ -148,7 +156,10 @@
     LogWarning(
         "state", "store_lost",
         {{"error", error == store_error::kRefused ? "refused" : "no_answer"},
-         {"applied", std::to_string(applied_offset_)}});
+         {"applied", std::to_string(applied_offset_)},
+         {"read_ms",
+          std::to_string(ToMilliseconds(loop_->Now() - read_started_at_))},
+         {"store_age_ms", std::to_string(StoreAgeMs())}});
   }
   store_available_ = false;
   retry_delay_ = std::clamp(retry_delay_ * 2, kMinRetryDelay, kMaxRetryDelay);
@@ -208,6 +219,7 @@
       {{"version", std::to_string(version_)},
        {"offset", std::to_string(record.offset)},
        {"source", source},
+       {"store_age_ms", std::to_string(StoreAgeMs())},
        {"routes", std::to_string(operator_config_.routes.size())},
        {"customers", std::to_string(operator_config_.customers.size())}});
   return true;
--- a/node/store_config_follower.h
+++ b/node/store_config_follower.h
@@ -78,6 +78,8 @@
               bool full_read);
   void AddDeletedKeys(keyed_batch* batch) const;
   void ScheduleRetry(store_error error);
+  // Milliseconds since the store last answered; -1 before its first answer.
+  int64_t StoreAgeMs() const;
   void Apply(const keyed_batch& batch, const char* source);
   // Returns whether the record changed the configuration.
   bool ApplyRecord(const keyed_record& record, const char* source);
@@ -99,6 +101,7 @@
   bool store_available_ = true;
   bool has_read_store_ = false;
   time_point last_store_answer_;
+  time_point read_started_at_;
   bool is_primary_reader_ = true;
   std::function<void()> new_records_callback_;
   // How long the next read waits at the store for new records.
