Show that changes are late after the store was silent (failing test)

hosted_node SeesChangesSoonAfterASilentStoreIsBack makes the store of 14 nodes silent, soon after a change and in the middle of long polls, for 0.6 to 8 s. Two seconds after its return, nodes still have the old version. The in-memory store gets the silent mode.

The bounds of the test are those of the users: 2 s.

--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -114,6 +114,31 @@
     CHECK_EQUAL(3, fleet.node(i).config().version());
 }
 
+// Guards against changes that come into force late because nodes wait for reads
+// that the store will never answer: it becomes silent during the long polls and
+// does not complete them when it is back.
+TEST(hosted_node, SeesChangesSoonAfterASilentStoreIsBack) {
+  constexpr size_t kLargeFleetMachines = 14;
+  // Silence that begins soon after a change, and in the middle of long polls.
+  for (const duration quiet : {milliseconds(100), milliseconds(9700)}) {
+    for (duration silence = milliseconds(600); silence < seconds(8);
+         silence += milliseconds(370)) {
+      hosted_fleet large{kLargeFleetMachines, 1};
+      large.Publish("1 1000 k1 k2");
+      large.Advance(seconds(30));
+      large.Publish("2 1000 k1 k2");
+      large.Advance(quiet);
+      large.store().SetSilent(true);
+      large.Advance(silence);
+      large.store().SetSilent(false);
+      large.Publish("3 1000 k2");
+      large.Advance(seconds(2));
+      for (size_t i = 0; i < kLargeFleetMachines; ++i)
+        CHECK_EQUAL(3, large.node(i).config().version());
+    }
+  }
+}
+
 // Load pattern: occasional changes in a fleet with more nodes than primary
 // readers. Guards against every node polling as often as a primary reader, and
 // against nodes that miss a change because their long poll is not woken and
--- a/testing/memory_store.cc
+++ b/testing/memory_store.cc
@@ -3,6 +3,13 @@
 #include <utility>
 
 namespace skylarkhoist {
+namespace {
+
+// Time after which a client gives up a call, in addition to the wait that the
+// call asks for.
+constexpr duration kResponseTimeout = std::chrono::seconds(2);
+
+}  // namespace
 
 class memory_store_client : public keyed_store {
  public:
@@ -10,7 +17,7 @@
       : store_(store), name_(std::move(name)) {}
 
   void ReadNewest(store_topic topic, read_callback done) override {
-    Call([store = store_, topic, done = std::move(done)](bool reachable) {
+    const auto action = [store = store_, topic, done](bool reachable) {
       if (!reachable) {
         done(tl::unexpected(store_error::kRefused));
         return;
@@ -23,15 +30,18 @@
       }
       batch.end_offset = log.records.size();
       done(batch);
-    });
+    };
+    Call(duration::zero(), action,
+         [done] { done(tl::unexpected(store_error::kUnknown)); });
   }
 
   void ReadFrom(store_topic topic,
                 uint64_t from,
                 duration wait,
                 read_callback done) override {
-    Call([this, store = store_, name = name_, topic, from, wait,
-          done = std::move(done)](bool reachable) {
+    const time_point limit = store_->TimeLimit(wait);
+    const auto action = [store = store_, name = name_, topic, from, wait, limit,
+                         done](bool reachable) {
       if (!reachable) {
         done(tl::unexpected(store_error::kRefused));
         return;
@@ -45,7 +55,8 @@
         done(store->RecordsFrom(log, from));
         return;
       }
-      log.waiting_reads.push_back({name, !store->lose_wake_ups_, from, done});
+      log.waiting_reads.push_back(
+          {name, !store->lose_wake_ups_, from, limit, done});
       store->loop_->RunAfter(wait, [store, topic, name, from] {
         auto& waiting_reads = store->logs_[topic].waiting_reads;
         for (auto each = waiting_reads.begin(); each != waiting_reads.end();
@@ -58,15 +69,16 @@
           return;
         }
       });
-    });
+    };
+    Call(wait, action, [done] { done(tl::unexpected(store_error::kUnknown)); });
   }
 
   void Put(store_topic topic,
            const std::string& key,
            const std::optional<std::string>& value,
            write_callback done) override {
-    Call([store = store_, topic, key, value,
-          done = std::move(done)](bool reachable) {
+    const auto action = [store = store_, topic, key, value,
+                         done](bool reachable) {
       if (!reachable) {
         done(tl::unexpected(store_error::kRefused));
         return;
@@ -76,12 +88,17 @@
         done(tl::unexpected(store_error::kUnknown));
       else
         done({});
-    });
+    };
+    Call(duration::zero(), action,
+         [done] { done(tl::unexpected(store_error::kUnknown)); });
   }
 
  private:
-  void Call(std::function<void(bool)> action) {
-    store_->RunCall(name_, std::move(action));
+  void Call(duration wait,
+            std::function<void(bool)> action,
+            std::function<void()> give_up) {
+    store_->RunCall(name_, store_->TimeLimit(wait), std::move(action),
+                    std::move(give_up));
   }
 
   memory_store* store_;
@@ -92,14 +109,37 @@
   return std::make_unique<memory_store_client>(this, client);
 }
 
+time_point memory_store::TimeLimit(duration wait) const {
+  return loop_->Now() + wait + kResponseTimeout;
+}
+
 void memory_store::RunCall(const std::string& client,
-                           std::function<void(bool)> action) {
+                           time_point limit,
+                           std::function<void(bool)> action,
+                           std::function<void()> give_up) {
   ++call_count_;
-  loop_->RunAfter(delay_, [this, client, action = std::move(action)] {
-    action(unreachable_.count(client) == 0);
+  loop_->RunAfter(delay_, [this, client, limit, action = std::move(action),
+                           give_up = std::move(give_up)] {
+    if (silent_)
+      loop_->RunAfter(limit - loop_->Now(), give_up);
+    else
+      action(unreachable_.count(client) == 0);
   });
 }
 
+void memory_store::SetSilent(bool silent) {
+  silent_ = silent;
+  if (!silent)
+    return;
+  for (auto& [topic, log] : logs_) {
+    for (waiting_read& each : std::exchange(log.waiting_reads, {})) {
+      loop_->RunAfter(each.limit - loop_->Now(), [done = std::move(each.done)] {
+        done(tl::unexpected(store_error::kUnknown));
+      });
+    }
+  }
+}
+
 void memory_store::SetReachable(const std::string& client, bool reachable) {
   if (reachable) {
     unreachable_.erase(client);
--- a/testing/memory_store.h
+++ b/testing/memory_store.h
@@ -18,7 +18,8 @@
 //
 //   memory_store store(&loop);
 //   const auto client = store.Connect("a");
-//   store.SetReachable("a", false);   // this client gets no answers
+//   store.SetReachable("a", false);   // this client is refused
+//   store.SetSilent(true);   // no client gets an answer
 //   store.Trim(store_topic::kOperators);   // reads of old offsets fail
 class memory_store {
  public:
@@ -32,6 +33,10 @@
   // Requests of an unreachable client are refused, including reads that wait
   // for records.
   void SetReachable(const std::string& client, bool reachable);
+  // While set, calls get no answer and have no effect, and neither do the calls
+  // in progress when it is set. Each ends with an unknown result after its time
+  // limit, also when the store answers again before that.
+  void SetSilent(bool silent);
   // While set, reads that begin to wait are not woken by later writes; they end
   // after their full wait.
   void LoseWakeUps(bool lose) { lose_wake_ups_ = lose; }
@@ -59,6 +64,7 @@
     std::string client;
     bool wakes_on_write = true;
     uint64_t from_offset = 0;
+    time_point limit;
     keyed_store::read_callback done;
   };
   struct topic_log {
@@ -68,7 +74,14 @@
     std::vector<waiting_read> waiting_reads;
   };
 
-  void RunCall(const std::string& client, std::function<void(bool)> action);
+  // Returns the time at which a call that waits up to `wait` is given up.
+  time_point TimeLimit(duration wait) const;
+  // Runs `action` when the call reaches the store, or `give_up` at `limit` when
+  // the store is silent.
+  void RunCall(const std::string& client,
+               time_point limit,
+               std::function<void(bool)> action,
+               std::function<void()> give_up);
   keyed_batch RecordsFrom(const topic_log& log, uint64_t from) const;
   void WakeReaders(topic_log* log);
 
@@ -76,6 +89,7 @@
   duration delay_ = std::chrono::milliseconds(4);
   bool lose_answers_ = false;
   bool lose_wake_ups_ = false;
+  bool silent_ = false;
   std::set<std::string> unreachable_;
   std::map<store_topic, topic_log> logs_;
   uint64_t call_count_ = 0;
