Read the store again as soon as an answer is late

Callers got 401 for keys, and old routes, for up to 2.7 s after a confirmed change: after a silent spell of 6 s the store never answered the reads that it had, and a node started its next read only when the time limit of the last one (wait + 2 s) had passed. Eight of 14 nodes waited in such a read for 20 s, so they also gave their own reads 0.5 s before they asked a peer.

A primary reader now waits at most 4 s at the store, staggered by rank, and starts another read when an answer is late by 0.5 s; the first one goes on. A node whose read missed records that a peer has starts another read. Fleet-wide calls at rest stay bounded: PrimaryReadersNotifyTheOthers passes with its bound of 84 calls unchanged.

--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -39,11 +39,7 @@
 // calls and waits in the queue for each of them.
 constexpr uint32_t kChainTargetLoadPermille = 1150;
 
-// Number of nodes that read the store again soon after each change and notify
-// the others. The others learn of a change late only if all of these miss it.
-constexpr size_t kPrimaryReaders = 6;
-
-uint64_t ReaderRank(const std::string& name) {
+uint64_t ReaderHash(const std::string& name) {
   return XXH64(name.data(), name.size(), 0);
 }
 
@@ -204,15 +200,15 @@
 // Nodes are ranked by a hash of their names, so all nodes with links to each
 // other choose the same primary readers. Each side of a network partition
 // chooses its own.
-bool hosted_node::IsPrimaryReader() const {
+size_t hosted_node::ReaderRank() const {
   size_t preceding = 0;
   for (const auto& [address, name] : directory_.LiveNodes())
-    preceding += ReaderRank(name) < ReaderRank(options_.name) ? 1 : 0;
-  return preceding < kPrimaryReaders;
+    preceding += ReaderHash(name) < ReaderHash(options_.name) ? 1 : 0;
+  return preceding;
 }
 
 void hosted_node::OnMembersChanged() {
-  config_.SetPrimaryReader(IsPrimaryReader());
+  config_.SetReaderRank(ReaderRank());
   tokens_.SetMembers(directory_.LiveNodes(), directory_.HasMajority());
 }
 
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -117,7 +117,7 @@
 
   void OnMembersChanged();
   void BroadcastOffset();
-  bool IsPrimaryReader() const;
+  size_t ReaderRank() const;
   void OnRun(const std::string& route, bool started);
   void OnLocalCall(const std::string& route, const std::string& parent_route);
   void DrainTarget();
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -139,6 +139,24 @@
   }
 }
 
+// Guards against a node that depends on its peers for as long as a read lasts
+// that the store will never answer.
+TEST(hosted_node, ReadsAgainAfterAReadThatMissedAChange) {
+  hosted_fleet large{14, 1};
+  large.Publish("1 1000 k1 k2");
+  large.Advance(seconds(30));
+  large.store().SetSilent(true);
+  large.Advance(seconds(1));
+  large.store().SetSilent(false);
+  large.Publish("2 1000 k2");
+  large.Advance(seconds(3));
+  // Peers send records only after 500 ms.
+  large.Publish("3 1000 k2");
+  large.Advance(milliseconds(300));
+  for (size_t i = 0; i < 14; ++i)
+    CHECK_EQUAL(3, large.node(i).config().version());
+}
+
 // Load pattern: occasional changes in a fleet with more nodes than primary
 // readers. Guards against every node polling as often as a primary reader, and
 // against nodes that miss a change because their long poll is not woken and
--- a/node/store_config_follower.cc
+++ b/node/store_config_follower.cc
@@ -9,15 +9,20 @@
 namespace skylarkhoist {
 namespace {
 
-// Bounds of the time that a read waits at the store for new records (long
-// poll). A primary reader starts with the minimum after each change and doubles
-// it with each empty read; the other nodes use the maximum. A record that is
-// written while a read arrives at the store may not wake this read. That
-// happens after a change, when all nodes start their next read at the same time
-// and another change follows soon. Later waits are long because each read has a
-// cost; keep-alive probes end connections that have become silent.
-constexpr duration kMinPollWait = std::chrono::milliseconds(400);
-constexpr duration kMaxPollWait = std::chrono::seconds(20);
+// Time that a read waits at the store for new records (long poll). A record
+// that is written while a read arrives at the store may not wake this read.
+// That happens after a change, when all nodes start their next read at the same
+// time and another change follows soon, so a primary reader first waits for a
+// short time.
+constexpr duration kFirstPollWait = std::chrono::milliseconds(400);
+// A primary reader notices only at the end of its read that the store has
+// become silent. The primary readers are staggered over this time.
+constexpr duration kPrimaryPollWait = std::chrono::seconds(4);
+constexpr duration kSecondaryPollWait = std::chrono::seconds(20);
+
+// A primary reader whose read is not answered within this time after the end of
+// its wait starts another one.
+constexpr duration kLateAnswer = std::chrono::milliseconds(500);
 
 // Pause between two reads of a primary reader, so that records written in quick
 // succession are read together. Well below the time within which a change must
@@ -26,8 +31,10 @@
 // The same for the other nodes, which are notified of changes.
 constexpr duration kSecondaryReadPause = std::chrono::milliseconds(250);
 
+// Pause after a failed read.
 constexpr duration kMinRetryDelay = std::chrono::milliseconds(200);
-constexpr duration kMaxRetryDelay = std::chrono::seconds(1);
+constexpr duration kMaxPrimaryRetryDelay = std::chrono::milliseconds(500);
+constexpr duration kMaxSecondaryRetryDelay = std::chrono::seconds(1);
 
 // Delay before a node that can read the store requests newer records from a
 // peer. Its own reads, with the pause between them, show a change within this
@@ -54,12 +61,17 @@
       store_read_failures_(
           counters->Counter("skylarkhoist_store_read_failures_total",
                             "Failed reads of operator records from the store")),
+      late_store_reads_(
+          counters->Counter("skylarkhoist_store_late_reads_total",
+                            "Reads of operator records that the store did not "
+                            "answer in time")),
       malformed_records_(
           counters->Counter("skylarkhoist_bad_operator_records_total",
                             "Malformed operator records that were skipped")) {}
 
 store_config_follower::~store_config_follower() {
   loop_->Cancel(read_timer_);
+  loop_->Cancel(late_timer_);
   loop_->Cancel(peer_request_timer_);
 }
 
@@ -76,32 +88,92 @@
                          : -1;
 }
 
-void store_config_follower::ReadNewest() {
+void store_config_follower::SetReaderRank(size_t rank) {
+  const bool was_primary = IsPrimaryReader();
+  reader_rank_ = rank;
+  // The read in progress may wait too long for a primary reader.
+  if (IsPrimaryReader() && !was_primary && has_read_store_ && read_timer_ == 0)
+    ReadNext(NextPollWait());
+}
+
+duration store_config_follower::NextPollWait() const {
+  if (!IsPrimaryReader())
+    return kSecondaryPollWait;
+  if (empty_reads_ == 0)
+    return kFirstPollWait;
+  if (empty_reads_ > 1)
+    return kPrimaryPollWait;
+  const auto position = static_cast<duration::rep>(reader_rank_ + 1);
+  return kPrimaryPollWait * position /
+         static_cast<duration::rep>(kPrimaryReaders);
+}
+
+uint64_t store_config_follower::BeginRead() {
+  loop_->Cancel(late_timer_);
+  late_timer_ = 0;
   store_reads_.Increment();
   read_started_at_ = loop_->Now();
+  read_missed_records_ = false;
+  ++open_reads_;
+  return ++current_read_;
+}
+
+void store_config_follower::ReadNewest() {
+  const uint64_t read = BeginRead();
   store_->ReadNewest(
       store_topic::kOperators,
-      [this, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
+      [this, read, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
         if (!alive.expired())
-          OnRead(result, true);
+          OnRead(read, result, true);
       });
 }
 
-void store_config_follower::ReadNext() {
-  store_reads_.Increment();
-  read_started_at_ = loop_->Now();
+void store_config_follower::ReadNext(duration poll_wait) {
+  const uint64_t read = BeginRead();
+  if (IsPrimaryReader())
+    late_timer_ = loop_->RunAfter(poll_wait + kLateAnswer, [this] {
+      late_timer_ = 0;
+      OnLateAnswer();
+    });
   store_->ReadFrom(
-      store_topic::kOperators, applied_offset_, poll_wait_,
-      [this, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
+      store_topic::kOperators, applied_offset_, poll_wait,
+      [this, read, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
         if (!alive.expired())
-          OnRead(result, false);
+          OnRead(read, result, false);
+      });
+}
+
+// Reads again without waiting for the read in progress, which the store may
+// never answer. Each read ends by its own time limit, which bounds their
+// number.
+void store_config_follower::OnLateAnswer() {
+  late_store_reads_.Increment();
+  SetStoreLost("late");
+  ReadNext(duration::zero());
+}
+
+void store_config_follower::ScheduleNextRead() {
+  read_timer_ = loop_->RunAfter(
+      IsPrimaryReader() ? kPrimaryReadPause : kSecondaryReadPause, [this] {
+        read_timer_ = 0;
+        ReadNext(NextPollWait());
       });
 }
 
 void store_config_follower::OnRead(
+    uint64_t read,
     const tl::expected<keyed_batch, store_error>& result,
     bool full_read) {
+  --open_reads_;
+  const bool superseded = read != current_read_;
+  if (!superseded) {
+    loop_->Cancel(late_timer_);
+    late_timer_ = 0;
+    read_missed_records_ = false;
+  }
   if (!result) {
+    if (superseded)
+      return;
     if (result.error() == store_error::kTrimmed)
       ReadNewest();
     else
@@ -116,25 +188,17 @@
   has_read_store_ = true;
   last_store_answer_ = loop_->Now();
   retry_delay_ = duration::zero();
-  if (!is_primary_reader_)
-    poll_wait_ = kMaxPollWait;
-  else if (result->records.empty())
-    poll_wait_ = std::min(poll_wait_ * 2, kMaxPollWait);
-  else
-    poll_wait_ = kMinPollWait;
+  empty_reads_ = result->records.empty() ? empty_reads_ + 1 : 0;
   keyed_batch batch = *result;
   if (full_read)
     AddDeletedKeys(&batch);
   const uint64_t previous_offset = applied_offset_;
   Apply(batch, full_read ? "store_newest" : "store");
-  if (is_primary_reader_ && applied_offset_ > previous_offset &&
+  if (IsPrimaryReader() && applied_offset_ > previous_offset &&
       new_records_callback_)
     new_records_callback_();
-  read_timer_ = loop_->RunAfter(
-      is_primary_reader_ ? kPrimaryReadPause : kSecondaryReadPause, [this] {
-        read_timer_ = 0;
-        ReadNext();
-      });
+  if (!superseded)
+    ScheduleNextRead();
 }
 
 // A full read does not contain the keys that were deleted since the last read,
@@ -150,23 +214,28 @@
   }
 }
 
-void store_config_follower::ScheduleRetry(store_error error) {
-  store_read_failures_.Increment();
+void store_config_follower::SetStoreLost(const char* error) {
   if (store_available_) {
-    LogWarning(
-        "state", "store_lost",
-        {{"error", error == store_error::kRefused ? "refused" : "no_answer"},
-         {"applied", std::to_string(applied_offset_)},
-         {"read_ms",
-          std::to_string(ToMilliseconds(loop_->Now() - read_started_at_))},
-         {"store_age_ms", std::to_string(StoreAgeMs())}});
+    LogWarning("state", "store_lost",
+               {{"error", error},
+                {"applied", std::to_string(applied_offset_)},
+                {"read_ms", std::to_string(ToMilliseconds(loop_->Now() -
+                                                          read_started_at_))},
+                {"store_age_ms", std::to_string(StoreAgeMs())}});
   }
   store_available_ = false;
-  retry_delay_ = std::clamp(retry_delay_ * 2, kMinRetryDelay, kMaxRetryDelay);
+}
+
+void store_config_follower::ScheduleRetry(store_error error) {
+  store_read_failures_.Increment();
+  SetStoreLost(error == store_error::kRefused ? "refused" : "no_answer");
+  retry_delay_ = std::clamp(
+      retry_delay_ * 2, kMinRetryDelay,
+      IsPrimaryReader() ? kMaxPrimaryRetryDelay : kMaxSecondaryRetryDelay);
   read_timer_ = loop_->RunAfter(retry_delay_, [this] {
     read_timer_ = 0;
     if (has_read_store_)
-      ReadNext();
+      ReadNext(NextPollWait());
     else
       ReadNewest();
   });
@@ -249,6 +318,7 @@
         const uint64_t wanted_offset = std::exchange(most_advanced_offset_, 0);
         if (applied_offset_ >= wanted_offset)
           return;
+        read_missed_records_ = read_timer_ == 0;
         fbs::config_requestT request;
         request.from_offset = applied_offset_;
         transport_->Send(most_advanced_peer_, MakeEnvelope(request));
@@ -299,6 +369,14 @@
     return;
   }
   Apply(batch, "peer");
+  // The store may never answer a read that missed records.
+  if (read_missed_records_ && has_read_store_ && open_reads_ == 1) {
+    LogWarning("state", "read_missed_records",
+               {{"applied", std::to_string(applied_offset_)},
+                {"read_ms", std::to_string(ToMilliseconds(loop_->Now() -
+                                                          read_started_at_))}});
+    ReadNext(NextPollWait());
+  }
 }
 
 }  // namespace skylarkhoist
--- a/node/store_config_follower.h
+++ b/node/store_config_follower.h
@@ -21,6 +21,11 @@
 // the store: reads the newest record of each key, then waits for more. Gets the
 // records from peers while the store does not answer this node.
 //
+// A store that becomes silent leaves reads unanswered for good, also after its
+// return. A few nodes, the primary readers, therefore wait only briefly at the
+// store, one after the other, read again as soon as an answer is late, and
+// notify the other nodes of new records (docs/platform.md, calls to the store).
+//
 // Invariant: the configuration version and the applied offset never decrease
 // while the process runs.
 class store_config_follower {
@@ -52,12 +57,12 @@
   // answer.
   duration StoreAge(time_point now) const;
 
-  // A primary reader reads the store again soon after each change and notifies
-  // the other nodes, see OnNewRecords. Only a few nodes are primary readers, to
-  // limit the number of reads.
-  void SetPrimaryReader(bool is_primary_reader) {
-    is_primary_reader_ = is_primary_reader;
-  }
+  // Number of primary readers in a fleet. It bounds the reads at rest.
+  static constexpr size_t kPrimaryReaders = 6;
+
+  // Sets the rank of this node among the nodes with links to each other. The
+  // first kPrimaryReaders are primary readers.
+  void SetReaderRank(size_t rank);
 
   // Sets a callback for new records that a primary reader has read.
   void OnNewRecords(std::function<void()> callback) {
@@ -72,12 +77,22 @@
   void HandleState(const std::string& address, const fbs::config_stateT& state);
 
  private:
+  bool IsPrimaryReader() const { return reader_rank_ < kPrimaryReaders; }
+  // Returns how long the next read waits at the store for new records.
+  duration NextPollWait() const;
+  // Starts a read, whose result supersedes those of the reads before it.
+  // Returns its number.
+  uint64_t BeginRead();
   void ReadNewest();
-  void ReadNext();
-  void OnRead(const tl::expected<keyed_batch, store_error>& result,
+  void ReadNext(duration poll_wait);
+  void ScheduleNextRead();
+  void OnLateAnswer();
+  void OnRead(uint64_t read,
+              const tl::expected<keyed_batch, store_error>& result,
               bool full_read);
   void AddDeletedKeys(keyed_batch* batch) const;
   void ScheduleRetry(store_error error);
+  void SetStoreLost(const char* error);
   // Milliseconds since the store last answered; -1 before its first answer.
   int64_t StoreAgeMs() const;
   void Apply(const keyed_batch& batch, const char* source);
@@ -102,12 +117,20 @@
   bool has_read_store_ = false;
   time_point last_store_answer_;
   time_point read_started_at_;
-  bool is_primary_reader_ = true;
+  size_t reader_rank_ = 0;
   std::function<void()> new_records_callback_;
-  // How long the next read waits at the store for new records.
-  duration poll_wait_ = std::chrono::milliseconds(400);
+  // Reads without new records since the last one that had some.
+  int empty_reads_ = 0;
+  // Number of the read whose end starts the next one, and the reads that have
+  // not ended, including those that it superseded.
+  uint64_t current_read_ = 0;
+  int open_reads_ = 0;
   duration retry_delay_ = duration::zero();
+  // Starts the next read; 0 while `current_read_` is in progress.
   timer_id read_timer_ = 0;
+  timer_id late_timer_ = 0;
+  // `current_read_` did not return records that a peer has had for a while.
+  bool read_missed_records_ = false;
   timer_id peer_request_timer_ = 0;
   // The peer that reported the highest offset above `applied_offset_`, and this
   // offset; 0 when there is none.
@@ -119,6 +142,7 @@
   prometheus::Gauge& version_gauge_;
   prometheus::Counter& store_reads_;
   prometheus::Counter& store_read_failures_;
+  prometheus::Counter& late_store_reads_;
   prometheus::Counter& malformed_records_;
 };
 
