Log what targets say of themselves in their answers

Some targets name in their answers how many calls a second they take from all nodes, or that they leave. The node beside a target now keeps what its target says in target_status_tracker and logs each change as target_status; the platform's dialect translates the fields. No decision uses it yet.

--- a/node/executor.cc
+++ b/node/executor.cc
@@ -34,6 +34,14 @@
   return message;
 }
 
+target_run RunOf(const target_announcement& announcement) {
+  return {announcement.id, announcement.generation};
+}
+
+std::string ToText(const std::optional<double>& rate) {
+  return rate ? std::to_string(*rate) : "none";
+}
+
 // Minimum time that an admitted call may wait, whatever its target latency.
 constexpr duration kMinCallWait = std::chrono::milliseconds(100);
 
@@ -163,6 +171,7 @@
     target.gate->ResetCold(now);
   target.gate->UpdateSettings(settings);
   target.gate->SetCold(now + announcement.cold_remaining, now);
+  UpdateStatus(&target, "announcement");
   if (!changed)
     return true;
   LogStateChange(
@@ -214,6 +223,21 @@
               target.announcement.address) == 0);
 }
 
+void executor::UpdateStatus(local_target* target, const char* source) {
+  const target_status status =
+      target_statuses_.StatusOf(RunOf(target->announcement));
+  if (status == target->status)
+    return;
+  const target_status previous = std::exchange(target->status, status);
+  LogStateChange("executor", "target_status",
+                 {{"address", target->announcement.address},
+                  {"id", target->announcement.id},
+                  {"source", source},
+                  {"calls_per_second", ToText(status.max_calls_per_second)},
+                  {"previous", ToText(previous.max_calls_per_second)},
+                  {"leaving", status.leaving ? "yes" : "no"}});
+}
+
 std::vector<fbs::target_entryT> executor::DescribeTargets() const {
   std::vector<fbs::target_entryT> entries;
   for (const auto& [address, target] : targets_) {
@@ -467,6 +491,7 @@
 
   execution->running = true;
   execution->started_at = now;
+  execution->target_id = target->announcement.id;
   if (on_run_)
     on_run_(execution->call.route, true);
   queue_wait_.Observe(
@@ -524,6 +549,9 @@
     if (result.error == target_error::kConnectRefused ||
         outcome == run_outcome::kWrongTarget)
       MarkDown(address);
+    if (result.error == target_error::kNone &&
+        outcome != run_outcome::kWrongTarget)
+      RecordStatus(&target->second, execution, result.response);
   }
   if (outcome == run_outcome::kShed)
     FinishRefused(id, reason::kShedByTarget, true);
@@ -540,6 +568,17 @@
   DispatchQueued(address);
 }
 
+void executor::RecordStatus(local_target* target,
+                            const open_execution& ended,
+                            const http_response& response) {
+  if (ended.target_id != target->announcement.id)
+    return;  // Another target uses the address now.
+  target_statuses_.OnResponse(RunOf(target->announcement),
+                              options_.dialect->ReadTargetStatus(response),
+                              ended.started_at, loop_->Now());
+  UpdateStatus(target, "response");
+}
+
 // Reports the end of a run to the suspect tracker.
 void executor::UpdateSuspects(const open_execution& ended,
                               const target_result& result) {
--- a/node/executor.h
+++ b/node/executor.h
@@ -14,6 +14,7 @@
 #include "decisions/context_tokens.h"
 #include "decisions/suspect_tracker.h"
 #include "decisions/target_scheduler.h"
+#include "decisions/target_status_tracker.h"
 #include "kernel/loop.h"
 #include "kernel/random.h"
 #include "node/call_types.h"
@@ -151,6 +152,8 @@
     target_announcement announcement;
     time_point announced_at;
     std::unique_ptr<target_scheduler> gate;
+    // Copied from `target_statuses_`.
+    target_status status;
     // Set when connections were refused since the last announcement or another
     // target uses the address.
     bool down = false;
@@ -169,6 +172,8 @@
     // Set when the call runs; empty when the caller sent none.
     std::string caller_id;
     std::string target_address;
+    // Id of the target that runs the call.
+    std::string target_id;
     time_point deadline;
     time_point arrived_at;
     time_point started_at;
@@ -191,6 +196,8 @@
   bool IsStale(const local_target& target,
                const target_announcement& announcement) const;
   bool IsInService(const local_target& target) const;
+  // Applies a change of what is known about the target.
+  void UpdateStatus(local_target* target, const char* source);
   std::optional<reason> CheckBeforeRun(const fbs::call_requestT& call,
                                        time_point now) const;
   local_target* ChooseTarget(const std::string& service);
@@ -208,6 +215,10 @@
   std::string CallerIdOf(const fbs::call_requestT& call) const;
   void SendToTarget(local_target* target, open_execution* execution);
   void OnTargetResult(const request_id& id, const target_result& result);
+  // Records what the target says about itself in the response to `ended`.
+  void RecordStatus(local_target* target,
+                    const open_execution& ended,
+                    const http_response& response);
   void FinishAnswered(open_execution* execution, const target_result& result);
   void FinishRefused(const request_id& id, reason why, bool local);
   void FinishFailed(const request_id& id, reason why);
@@ -230,6 +241,8 @@
   suspect_tracker suspects_;
   answer_cache<fbs::call_answerT> answers_;
   target_map targets_;
+  // Outlives the entries of `targets_`, which end with missing announcements.
+  target_status_tracker target_statuses_;
   std::unordered_map<request_id, open_execution, request_id_hash> executions_;
   // Running executions by the caller's id.
   std::unordered_map<std::string, request_id> runs_by_caller_id_;
--- a/node/request_dialect.h
+++ b/node/request_dialect.h
@@ -6,6 +6,7 @@
 
 #include "decisions/reason.h"
 #include "decisions/request_types.h"
+#include "decisions/target_status.h"
 #include "kernel/http.h"
 #include "kernel/time.h"
 #include "wire/messages_generated.h"
@@ -70,6 +71,12 @@
   virtual run_outcome ClassifyResponse(const http_response& response,
                                        bool made_child_calls) const = 0;
 
+  // Returns what the target says about itself in a response to any request.
+  virtual target_status ReadTargetStatus(const http_response& response) const {
+    static_cast<void>(response);
+    return {};
+  }
+
   // Removes header fields that a caller must not see and adds those that tell
   // it about the result of its request.
   virtual void FinishResponse(const request_id& id,
