--- a/testing/fake_targets.cc
+++ b/testing/fake_targets.cc
@@ -247,9 +247,22 @@
   loop_.Cancel(call.work_timer);
   target_result result = Response(status);
   result.response.body = call.body;
+  for (const auto& [name, value] : call.target->response_fields)
+    result.response.headers.Add(name, value);
   Deliver(id, result);
 }
 
+void fake_targets::SetResponseField(const std::string& address,
+                                    const std::string& name,
+                                    const std::string& value) {
+  std::map<std::string, std::string>& fields =
+      targets_.at(address).response_fields;
+  if (value.empty())
+    fields.erase(name);
+  else
+    fields[name] = value;
+}
+
 void fake_targets::EndRun(call_state& call, bool succeeded) {
   target_state& target = *call.target;
   call.is_running = false;
--- a/testing/fake_targets.h
+++ b/testing/fake_targets.h
@@ -121,6 +121,11 @@
   void Shed(const std::string& address, duration length);
   // Makes the target cold without an error that nodes could notice.
   void TurnCold(const std::string& address);
+  // Adds a header field to all later responses of the target, or removes it
+  // when `value` is empty.
+  void SetResponseField(const std::string& address,
+                        const std::string& name,
+                        const std::string& value);
   // Breaks the connections of all calls; the target is back, cold, after its
   // restart time.
   void Crash(const std::string& address);
@@ -145,6 +150,7 @@
     fake_target_options options;
     child_call_function child;
     fake_target_counters counters;
+    std::map<std::string, std::string> response_fields;
     bool is_up = true;
     bool is_cold = false;
     bool cold_detectable = false;
