--- a/node/store_config_follower.h
+++ b/node/store_config_follower.h
@@ -21,10 +21,11 @@
 // the store: reads the newest record of each key, then waits for more. Gets the
 // records from peers while the store does not answer this node.
 //
-// A store that becomes silent leaves reads unanswered for good, also after its
-// return. A few nodes, the primary readers, therefore wait only briefly at the
-// store, one after the other, read again as soon as an answer is late, and
-// notify the other nodes of new records (docs/platform.md, calls to the store).
+// A store that is silent for a while leaves reads unanswered for good, also
+// after its return. A few nodes, the primary readers, therefore wait only
+// briefly at the store, one after the other, read again as soon as an answer is
+// late, and notify the other nodes of new records (docs/platform.md, calls to
+// the store).
 //
 // Invariant: the configuration version and the applied offset never decrease
 // while the process runs.
