Send nothing to a target that says in its answers that it leaves

Callers' requests reached a target long after nodes had passed on answers in which it said that it leaves: nothing read the field, and a node that restarts beside the target would forget it anyway, while its announcements may still say that it serves.

The node beside a target takes it out of service with the first such answer. Its answers to other nodes carry what the target said, with the id and generation of its run; they remember it and return it with each call to that node. So a restarted node knows it before the first call of any node that is bound by it, and nobody has to tell anybody else. The cost is one entry for each target that leaves or is limited, at the nodes that got answers from it.

--- a/node/entry.cc
+++ b/node/entry.cc
@@ -33,6 +33,10 @@
 // left.
 constexpr duration kMinTimeForRetry = std::chrono::milliseconds(50);
 
+// What a target said about itself is forgotten after this time without an
+// answer that repeats it. By then, its node has long heard from it again.
+constexpr duration kTargetReportRetention = std::chrono::minutes(10);
+
 uint64_t Fingerprint(const std::string& customer,
                      const std::string& route,
                      const std::string& body) {
@@ -522,6 +526,7 @@
   const auto link = link_incarnations_.find(target.node_address);
   current_attempt.incarnation =
       link == link_incarnations_.end() ? 0 : link->second;
+  current_attempt.sent_at = now;
 
   fbs::call_requestT message;
   message.id = ToWire(current_attempt.id);
@@ -549,6 +554,11 @@
     message.target_left_ms = static_cast<uint32_t>(
         std::max<int64_t>(0, ToMilliseconds(call->soft_deadline - now)));
 
+  const auto remembered = remembered_targets_.find(target.node_address);
+  if (remembered != remembered_targets_.end())
+    message.target =
+        std::make_unique<fbs::target_reportT>(remembered->second.report);
+
   call->tried_nodes.insert(target.node_address);
   calls_by_attempt_.emplace(current_attempt.id, call->call_id);
   ++open_calls_by_target_[{current_attempt.address, current_attempt.service}];
@@ -593,6 +603,7 @@
     RecordLoadReport(from.address, call->service,
                      answer.loads.front()->permille);
   call->credit = std::min<int>(call->credit, answer.credit_left);
+  RememberTarget(*call->current_attempt, answer);
   LearnDownstreamServices(*call, answer);
   if (answer.outcome != fbs::outcome::kRefused)
     UpdateFailureRate(*call->current_attempt,
@@ -622,6 +633,26 @@
   }
 }
 
+void entry::RememberTarget(const attempt& ended,
+                           const fbs::call_answerT& answer) {
+  const time_point now = loop_->Now();
+  const auto known = remembered_targets_.find(ended.address);
+  if (answer.target != nullptr) {
+    if (known == remembered_targets_.end()) {
+      for (auto each = remembered_targets_.begin();
+           each != remembered_targets_.end();)
+        each = each->second.updated_at + kTargetReportRetention <= now
+                   ? remembered_targets_.erase(each)
+                   : std::next(each);
+    }
+    remembered_targets_[ended.address] = {*answer.target, now};
+  } else if (answer.outcome == fbs::outcome::kAnswered &&
+             known != remembered_targets_.end() &&
+             ended.sent_at >= known->second.updated_at) {
+    remembered_targets_.erase(known);
+  }
+}
+
 void entry::RecordLoadReport(const std::string& address,
                              const std::string& service,
                              uint32_t permille) {
--- a/node/entry.h
+++ b/node/entry.h
@@ -200,6 +200,14 @@
     std::string service;
     // Incarnation of the executor that has the call; 0 while no link was up.
     uint64_t incarnation = 0;
+    time_point sent_at;
+  };
+  // What the target beside a node has said about itself. Answers that this node
+  // passed on to callers bind it, also after the target's node has restarted
+  // and forgotten it, so each call to that node carries it.
+  struct remembered_target {
+    fbs::target_reportT report;
+    time_point updated_at;
   };
   struct open_call {
     entry_call_id call_id = 0;
@@ -293,6 +301,7 @@
   void RecordLoadReport(const std::string& address,
                         const std::string& service,
                         uint32_t permille);
+  void RememberTarget(const attempt& ended, const fbs::call_answerT& answer);
   void LearnDownstreamServices(const open_call& call,
                                const fbs::call_answerT& answer);
   void HandleLocalTargetCall(open_call* call, const route_config& route);
@@ -345,6 +354,8 @@
       calls_by_attempt_;
   // Incarnation of the peer on each link that is up, by address.
   std::map<std::string, uint64_t> link_incarnations_;
+  // By peer address.
+  std::map<std::string, remembered_target> remembered_targets_;
   std::map<std::pair<std::string, std::string>, load_report> load_reports_;
   std::map<std::pair<std::string, std::string>, int> open_calls_by_target_;
   std::map<std::pair<std::string, std::string>, target_failure_rate>
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -1,6 +1,7 @@
 #include "node/executor.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "kernel/log.h"
@@ -38,6 +39,19 @@
   return {announcement.id, announcement.generation};
 }
 
+// Returns null when the target has said nothing special.
+std::unique_ptr<fbs::target_reportT> ToWire(const target_run& run,
+                                            const target_status& status) {
+  if (status == target_status())
+    return nullptr;
+  auto report = std::make_unique<fbs::target_reportT>();
+  report->id = run.id;
+  report->generation = run.generation;
+  report->max_calls_per_second = status.max_calls_per_second.value_or(-1);
+  report->leaving = status.leaving;
+  return report;
+}
+
 std::string ToText(const std::optional<double>& rate) {
   return rate ? std::to_string(*rate) : "none";
 }
@@ -213,7 +227,8 @@
   // Checks the age at each use: after a pause of the process, calls arrive
   // before the timer that expires targets, and the last announcement may be out
   // of date.
-  if (target.down || target.announcement.state != fbs::member_state::kServing ||
+  if (target.down || target.status.leaving ||
+      target.announcement.state != fbs::member_state::kServing ||
       target.announced_at + options_.announcement_timeout < loop_->Now())
     return false;
   const auto service = config_->services.find(target.announcement.service);
@@ -223,6 +238,20 @@
               target.announcement.address) == 0);
 }
 
+void executor::HandleTargetReport(const fbs::target_reportT& report) {
+  target_status status;
+  if (std::isfinite(report.max_calls_per_second) &&
+      report.max_calls_per_second >= 0)
+    status.max_calls_per_second = report.max_calls_per_second;
+  status.leaving = report.leaving;
+  target_statuses_.OnReport({report.id, report.generation}, status,
+                            loop_->Now());
+  for (auto& [address, target] : targets_) {
+    if (target.announcement.id == report.id)
+      UpdateStatus(&target, "peer");
+  }
+}
+
 void executor::UpdateStatus(local_target* target, const char* source) {
   const target_status status =
       target_statuses_.StatusOf(RunOf(target->announcement));
@@ -236,6 +265,11 @@
                   {"calls_per_second", ToText(status.max_calls_per_second)},
                   {"previous", ToText(previous.max_calls_per_second)},
                   {"leaving", status.leaving ? "yes" : "no"}});
+  if (status.leaving != previous.leaving) {
+    RefuseQueued(target->announcement.address, reason::kNoTarget);
+    if (on_targets_changed_)
+      on_targets_changed_();
+  }
 }
 
 std::vector<fbs::target_entryT> executor::DescribeTargets() const {
@@ -331,6 +365,8 @@
                           const fbs::call_requestT& call) {
   const time_point now = loop_->Now();
   const request_id id = skylarkhoist::FromWire(call.id);
+  if (call.target != nullptr)
+    HandleTargetReport(*call.target);
   switch (answers_.RecordArrival(id, now)) {
     case call_arrival::kNew:
       break;
@@ -792,6 +828,8 @@
             .count());
     own_load.cold = gate.IsCold(loop_->Now());
     answer.loads.push_back(std::make_unique<fbs::load_levelT>(own_load));
+    answer.target =
+        ToWire(RunOf(target->second.announcement), target->second.status);
   }
   if (downstream_loads_) {
     for (const fbs::load_levelT& level : downstream_loads_(execution.call))
--- a/node/executor.h
+++ b/node/executor.h
@@ -196,7 +196,9 @@
   bool IsStale(const local_target& target,
                const target_announcement& announcement) const;
   bool IsInService(const local_target& target) const;
-  // Applies a change of what is known about the target.
+  // Records what another node remembers of a local target.
+  void HandleTargetReport(const fbs::target_reportT& report);
+  // Applies what is known about the target now.
   void UpdateStatus(local_target* target, const char* source);
   std::optional<reason> CheckBeforeRun(const fbs::call_requestT& call,
                                        time_point now) const;
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -26,6 +26,10 @@
 struct load_levelBuilder;
 struct load_levelT;
 
+struct target_report;
+struct target_reportBuilder;
+struct target_reportT;
+
 struct hello;
 struct helloBuilder;
 struct helloT;
@@ -160,6 +164,8 @@
 bool operator!=(const headerT &lhs, const headerT &rhs);
 bool operator==(const load_levelT &lhs, const load_levelT &rhs);
 bool operator!=(const load_levelT &lhs, const load_levelT &rhs);
+bool operator==(const target_reportT &lhs, const target_reportT &rhs);
+bool operator!=(const target_reportT &lhs, const target_reportT &rhs);
 bool operator==(const helloT &lhs, const helloT &rhs);
 bool operator!=(const helloT &lhs, const helloT &rhs);
 bool operator==(const heartbeatT &lhs, const heartbeatT &rhs);
@@ -1273,6 +1279,113 @@
 
 flatbuffers::Offset<load_level> Createload_level(flatbuffers::FlatBufferBuilder &_fbb, const load_levelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct target_reportT : public flatbuffers::NativeTable {
+  typedef target_report TableType;
+  std::string id{};
+  int64_t generation = 0;
+  double max_calls_per_second = -1.0;
+  bool leaving = false;
+};
+
+struct target_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef target_reportT NativeTableType;
+  typedef target_reportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_GENERATION = 6,
+    VT_MAX_CALLS_PER_SECOND = 8,
+    VT_LEAVING = 10
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t generation() const {
+    return GetField<int64_t>(VT_GENERATION, 0);
+  }
+  double max_calls_per_second() const {
+    return GetField<double>(VT_MAX_CALLS_PER_SECOND, -1.0);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<double>(verifier, VT_MAX_CALLS_PER_SECOND, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           verifier.EndTable();
+  }
+  target_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(target_reportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<target_report> Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct target_reportBuilder {
+  typedef target_report Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(target_report::VT_ID, id);
+  }
+  void add_generation(int64_t generation) {
+    fbb_.AddElement<int64_t>(target_report::VT_GENERATION, generation, 0);
+  }
+  void add_max_calls_per_second(double max_calls_per_second) {
+    fbb_.AddElement<double>(target_report::VT_MAX_CALLS_PER_SECOND, max_calls_per_second, -1.0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(target_report::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  explicit target_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<target_report> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<target_report>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<target_report> Createtarget_report(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t generation = 0,
+    double max_calls_per_second = -1.0,
+    bool leaving = false) {
+  target_reportBuilder builder_(_fbb);
+  builder_.add_max_calls_per_second(max_calls_per_second);
+  builder_.add_generation(generation);
+  builder_.add_id(id);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+struct target_report::Traits {
+  using type = target_report;
+  static auto constexpr Create = Createtarget_report;
+};
+
+inline flatbuffers::Offset<target_report> Createtarget_reportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t generation = 0,
+    double max_calls_per_second = -1.0,
+    bool leaving = false) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return skylarkhoist::fbs::Createtarget_report(
+      _fbb,
+      id__,
+      generation,
+      max_calls_per_second,
+      leaving);
+}
+
+flatbuffers::Offset<target_report> Createtarget_report(flatbuffers::FlatBufferBuilder &_fbb, const target_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct helloT : public flatbuffers::NativeTable {
   typedef hello TableType;
   uint16_t min_version = 0;
@@ -1551,6 +1664,7 @@
   std::string caller_service{};
   std::string route{};
   uint32_t target_left_ms = 0;
+  std::unique_ptr<skylarkhoist::fbs::target_reportT> target{};
   call_requestT() = default;
   call_requestT(const call_requestT &o);
   call_requestT(call_requestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1581,7 +1695,8 @@
     VT_BODY_CHECKSUM = 36,
     VT_CALLER_SERVICE = 38,
     VT_ROUTE = 40,
-    VT_TARGET_LEFT_MS = 42
+    VT_TARGET_LEFT_MS = 42,
+    VT_TARGET = 44
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -1643,6 +1758,9 @@
   uint32_t target_left_ms() const {
     return GetField<uint32_t>(VT_TARGET_LEFT_MS, 0);
   }
+  const skylarkhoist::fbs::target_report *target() const {
+    return GetPointer<const skylarkhoist::fbs::target_report *>(VT_TARGET);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -1675,6 +1793,8 @@
            VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) &&
            VerifyField<uint32_t>(verifier, VT_TARGET_LEFT_MS, 4) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyTable(target()) &&
            verifier.EndTable();
   }
   call_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1746,6 +1866,9 @@
   void add_target_left_ms(uint32_t target_left_ms) {
     fbb_.AddElement<uint32_t>(call_request::VT_TARGET_LEFT_MS, target_left_ms, 0);
   }
+  void add_target(flatbuffers::Offset<skylarkhoist::fbs::target_report> target) {
+    fbb_.AddOffset(call_request::VT_TARGET, target);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1778,10 +1901,12 @@
     uint64_t body_checksum = 0,
     flatbuffers::Offset<flatbuffers::String> caller_service = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
-    uint32_t target_left_ms = 0) {
+    uint32_t target_left_ms = 0,
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
   call_requestBuilder builder_(_fbb);
   builder_.add_body_checksum(body_checksum);
   builder_.add_fingerprint(fingerprint);
+  builder_.add_target(target);
   builder_.add_target_left_ms(target_left_ms);
   builder_.add_route(route);
   builder_.add_caller_service(caller_service);
@@ -1829,7 +1954,8 @@
     uint64_t body_checksum = 0,
     const char *caller_service = nullptr,
     const char *route = nullptr,
-    uint32_t target_left_ms = 0) {
+    uint32_t target_left_ms = 0,
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto key_id__ = key_id ? _fbb.CreateString(key_id) : 0;
@@ -1860,7 +1986,8 @@
       body_checksum,
       caller_service__,
       route__,
-      target_left_ms);
+      target_left_ms,
+      target);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1880,6 +2007,7 @@
   std::vector<uint8_t> body{};
   uint64_t total_length = 0;
   uint64_t body_checksum = 0;
+  std::unique_ptr<skylarkhoist::fbs::target_reportT> target{};
   call_answerT() = default;
   call_answerT(const call_answerT &o);
   call_answerT(call_answerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1903,7 +2031,8 @@
     VT_HEADERS = 22,
     VT_BODY = 24,
     VT_TOTAL_LENGTH = 26,
-    VT_BODY_CHECKSUM = 28
+    VT_BODY_CHECKSUM = 28,
+    VT_TARGET = 30
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -1944,6 +2073,9 @@
   uint64_t body_checksum() const {
     return GetField<uint64_t>(VT_BODY_CHECKSUM, 0);
   }
+  const skylarkhoist::fbs::target_report *target() const {
+    return GetPointer<const skylarkhoist::fbs::target_report *>(VT_TARGET);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -1964,6 +2096,8 @@
            verifier.VerifyVector(body()) &&
            VerifyField<uint64_t>(verifier, VT_TOTAL_LENGTH, 8) &&
            VerifyField<uint64_t>(verifier, VT_BODY_CHECKSUM, 8) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyTable(target()) &&
            verifier.EndTable();
   }
   call_answerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2014,6 +2148,9 @@
   void add_body_checksum(uint64_t body_checksum) {
     fbb_.AddElement<uint64_t>(call_answer::VT_BODY_CHECKSUM, body_checksum, 0);
   }
+  void add_target(flatbuffers::Offset<skylarkhoist::fbs::target_report> target) {
+    fbb_.AddOffset(call_answer::VT_TARGET, target);
+  }
   explicit call_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2039,10 +2176,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::header>>> headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint64_t total_length = 0,
-    uint64_t body_checksum = 0) {
+    uint64_t body_checksum = 0,
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
   call_answerBuilder builder_(_fbb);
   builder_.add_body_checksum(body_checksum);
   builder_.add_total_length(total_length);
+  builder_.add_target(target);
   builder_.add_body(body);
   builder_.add_headers(headers);
   builder_.add_loads(loads);
@@ -2076,7 +2215,8 @@
     const std::vector<flatbuffers::Offset<skylarkhoist::fbs::header>> *headers = nullptr,
     const std::vector<uint8_t> *body = nullptr,
     uint64_t total_length = 0,
-    uint64_t body_checksum = 0) {
+    uint64_t body_checksum = 0,
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
   auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::load_level>>(*loads) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -2094,7 +2234,8 @@
       headers__,
       body__,
       total_length,
-      body_checksum);
+      body_checksum,
+      target);
 }
 
 flatbuffers::Offset<call_answer> Createcall_answer(flatbuffers::FlatBufferBuilder &_fbb, const call_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5708,6 +5849,55 @@
 }
 
 
+inline bool operator==(const target_reportT &lhs, const target_reportT &rhs) {
+  return
+      (lhs.id == rhs.id) &&
+      (lhs.generation == rhs.generation) &&
+      (lhs.max_calls_per_second == rhs.max_calls_per_second) &&
+      (lhs.leaving == rhs.leaving);
+}
+
+inline bool operator!=(const target_reportT &lhs, const target_reportT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline target_reportT *target_report::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<target_reportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void target_report::UnPackTo(target_reportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = max_calls_per_second(); _o->max_calls_per_second = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+}
+
+inline flatbuffers::Offset<target_report> target_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtarget_report(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<target_report> Createtarget_report(flatbuffers::FlatBufferBuilder &_fbb, const target_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const target_reportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _generation = _o->generation;
+  auto _max_calls_per_second = _o->max_calls_per_second;
+  auto _leaving = _o->leaving;
+  return skylarkhoist::fbs::Createtarget_report(
+      _fbb,
+      _id,
+      _generation,
+      _max_calls_per_second,
+      _leaving);
+}
+
+
 inline bool operator==(const helloT &lhs, const helloT &rhs) {
   return
       (lhs.min_version == rhs.min_version) &&
@@ -5843,7 +6033,8 @@
       (lhs.body_checksum == rhs.body_checksum) &&
       (lhs.caller_service == rhs.caller_service) &&
       (lhs.route == rhs.route) &&
-      (lhs.target_left_ms == rhs.target_left_ms);
+      (lhs.target_left_ms == rhs.target_left_ms) &&
+      ((lhs.target == rhs.target) || (lhs.target && rhs.target && *lhs.target == *rhs.target));
 }
 
 inline bool operator!=(const call_requestT &lhs, const call_requestT &rhs) {
@@ -5870,7 +6061,8 @@
         body_checksum(o.body_checksum),
         caller_service(o.caller_service),
         route(o.route),
-        target_left_ms(o.target_left_ms) {
+        target_left_ms(o.target_left_ms),
+        target((o.target) ? new skylarkhoist::fbs::target_reportT(*o.target) : nullptr) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new skylarkhoist::fbs::headerT(*headers_) : nullptr); }
 }
@@ -5896,6 +6088,7 @@
   std::swap(caller_service, o.caller_service);
   std::swap(route, o.route);
   std::swap(target_left_ms, o.target_left_ms);
+  std::swap(target, o.target);
   return *this;
 }
 
@@ -5928,6 +6121,7 @@
   { auto _e = caller_service(); if (_e) _o->caller_service = _e->str(); }
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = target_left_ms(); _o->target_left_ms = _e; }
+  { auto _e = target(); if (_e) _o->target = std::unique_ptr<skylarkhoist::fbs::target_reportT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5958,6 +6152,7 @@
   auto _caller_service = _o->caller_service.empty() ? 0 : _fbb.CreateString(_o->caller_service);
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _target_left_ms = _o->target_left_ms;
+  auto _target = _o->target ? Createtarget_report(_fbb, _o->target.get(), _rehasher) : 0;
   return skylarkhoist::fbs::Createcall_request(
       _fbb,
       _id,
@@ -5979,7 +6174,8 @@
       _body_checksum,
       _caller_service,
       _route,
-      _target_left_ms);
+      _target_left_ms,
+      _target);
 }
 
 
@@ -5997,7 +6193,8 @@
       (lhs.headers.size() == rhs.headers.size() && std::equal(lhs.headers.cbegin(), lhs.headers.cend(), rhs.headers.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::headerT> const &a, std::unique_ptr<skylarkhoist::fbs::headerT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
       (lhs.body == rhs.body) &&
       (lhs.total_length == rhs.total_length) &&
-      (lhs.body_checksum == rhs.body_checksum);
+      (lhs.body_checksum == rhs.body_checksum) &&
+      ((lhs.target == rhs.target) || (lhs.target && rhs.target && *lhs.target == *rhs.target));
 }
 
 inline bool operator!=(const call_answerT &lhs, const call_answerT &rhs) {
@@ -6016,7 +6213,8 @@
         status(o.status),
         body(o.body),
         total_length(o.total_length),
-        body_checksum(o.body_checksum) {
+        body_checksum(o.body_checksum),
+        target((o.target) ? new skylarkhoist::fbs::target_reportT(*o.target) : nullptr) {
   loads.reserve(o.loads.size());
   for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new skylarkhoist::fbs::load_levelT(*loads_) : nullptr); }
   headers.reserve(o.headers.size());
@@ -6037,6 +6235,7 @@
   std::swap(body, o.body);
   std::swap(total_length, o.total_length);
   std::swap(body_checksum, o.body_checksum);
+  std::swap(target, o.target);
   return *this;
 }
 
@@ -6062,6 +6261,7 @@
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = total_length(); _o->total_length = _e; }
   { auto _e = body_checksum(); _o->body_checksum = _e; }
+  { auto _e = target(); if (_e) _o->target = std::unique_ptr<skylarkhoist::fbs::target_reportT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<call_answer> call_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6085,6 +6285,7 @@
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   auto _total_length = _o->total_length;
   auto _body_checksum = _o->body_checksum;
+  auto _target = _o->target ? Createtarget_report(_fbb, _o->target.get(), _rehasher) : 0;
   return skylarkhoist::fbs::Createcall_answer(
       _fbb,
       _id,
@@ -6099,7 +6300,8 @@
       _headers,
       _body,
       _total_length,
-      _body_checksum);
+      _body_checksum,
+      _target);
 }
 
 
