Report a JSON number that is too large instead of ending the process

Report of other operators: one odd entry ended the machines that read the list again and again. It can happen here: nlohmann::json throws out_of_range for a number such as 1e999, and ParseJson caught parse_error only, so the exception ended the process. All records of the store, status reports and settings go through ParseJson. Deep nesting, the other form of the report, was refused already.

json ReportsNumbersThatAreTooLarge ended the test program before (terminate: number overflow parsing '1e999') and passes; it also covers 100,000 levels.

--- a/kernel/json.cc
+++ b/kernel/json.cc
@@ -54,6 +54,8 @@
   } catch (const json::parse_error& error) {
     problems.Add("/", std::string("not valid JSON at byte ") +
                           std::to_string(error.byte));
+  } catch (const json::out_of_range&) {
+    problems.Add("/", "has a number that is too large");
   }
   if (too_deep)
     problems.Add("/", "nested deeper than 64 levels");
--- a/kernel/json_test.cc
+++ b/kernel/json_test.cc
@@ -18,6 +18,20 @@
   STRCMP_EQUAL("/a", result.error().items()[1].place.c_str());
 }
 
+// Guards against a process that ends because a number in somebody else's text
+// is too large.
+TEST(json, ReportsNumbersThatAreTooLarge) {
+  const std::string digits(400, '9');
+  for (const std::string& text :
+       {std::string("1e999"), std::string(R"({"a":[-1e999]})"), digits})
+    CHECK_FALSE_TEXT(ParseJson(text).has_value(), text.c_str());
+  CHECK_FALSE(ParseJson(std::string(100'000, '[')).has_value());
+  std::string nested;
+  for (int i = 0; i < 100'000; ++i)
+    nested += R"({"a":)";
+  CHECK_FALSE(ParseJson(nested).has_value());
+}
+
 // Guards against stack overflow by deeply nested input.
 TEST(json, RefusesDeepNesting) {
   CHECK_FALSE(
