Ignore node records whose address cannot be connected to

Report of other operators: an entry with a port out of range. Here, such a record among those of the nodes became a member that is never reached and never counts as ended. Ten of them took the majority from six nodes, so that the token buckets of customers stopped and their requests were refused. A record now needs an address with a port from 1 to 65535.

hosted_node IgnoresOddRecordsAmongTheNodes failed before (a request was refused) and passes; it also writes records with deep nesting, a number that is too large, other types and bytes that are no text. The in-memory network now reports text that is no address like the TCP transport, as a closed link.

--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -455,5 +455,37 @@
   CHECK_EQUAL(200, fleet.SendAndWait(0, "/inner/x", ""));
 }
 
+// Guards against an odd record of another writer among the records of the nodes
+// that ends the processes that read it, keeps them from finding each other, or
+// counts as a node that is out of reach.
+TEST(hosted_node, IgnoresOddRecordsAmongTheNodes) {
+  hosted_fleet odd{kMachines, 1};
+  const std::string deep = std::string(100'000, '[');
+  std::vector<std::string> values = {
+      deep,
+      R"({"address":)" + deep,
+      R"({"address":"10.9.9.9:1","zone":"z0","incarnation":1e999})",
+      R"({"address":"10.9.9.9:0","zone":"z0","incarnation":1})",
+      R"({"address":"10.9.9.9:99999","zone":"z0","incarnation":1})",
+      R"({"address":"nowhere","zone":"z0","incarnation":1})",
+      R"({"address":7,"zone":"z0"})",
+      "\xff\xfe",
+      ""};
+  for (int host = 1; host <= 10; ++host)
+    values.push_back(R"({"address":"10.9.9.)" + std::to_string(host) +
+                     R"(:99999","zone":"z0","incarnation":1})");
+  for (size_t i = 0; i < values.size(); ++i)
+    odd.store().Write(store_topic::kNodes, "\xff" + std::to_string(i),
+                      values[i]);
+  odd.Publish("1 1000 k1");
+  // The nodes read the records again within this time.
+  odd.Advance(seconds(35));
+  for (size_t i = 0; i < kMachines; ++i) {
+    CHECK_EQUAL(200, odd.SendAndWait(i, "/safe/x", "k1"));
+    CHECK_TRUE(odd.node(i).Status()["has_majority"]);
+    CHECK_EQUAL(kMachines, odd.node(i).Status()["members"].size());
+  }
+}
+
 }  // namespace
 }  // namespace skylarkhoist
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -5,6 +5,7 @@
 
 #include "kernel/json.h"
 #include "kernel/log.h"
+#include "wire/address.h"
 
 namespace skylarkhoist {
 namespace {
@@ -120,7 +121,8 @@
     const auto value = ParseJson(*record.value);
     if (!value || !value->is_object() || !value->contains("address") ||
         !(*value)["address"].is_string() || !value->contains("zone") ||
-        !(*value)["zone"].is_string()) {
+        !(*value)["zone"].is_string() ||
+        !IsConnectable((*value)["address"].get<std::string>())) {
       LogWarning("directory", "bad_record", {{"key", record.key}});
       continue;
     }
--- a/testing/memory_network.cc
+++ b/testing/memory_network.cc
@@ -4,6 +4,8 @@
 #include <deque>
 #include <functional>
 
+#include "wire/address.h"
+
 namespace skylarkhoist {
 namespace detail {
 
@@ -221,10 +223,12 @@
       return;
     const auto target = nodes_.find(to);
     if (target == nodes_.end()) {
-      RunAfter(delay, [this, link, from] {
-        RunOnNode(from, [this, link] {
-          CloseSide(link, 0, link_down_cause::kRefused);
-        });
+      // Only a machine refuses connections; no attempt to connect is made to
+      // text that is no address.
+      const link_down_cause cause = ParseAddress(to) ? link_down_cause::kRefused
+                                                     : link_down_cause::kClosed;
+      RunAfter(delay, [this, link, from, cause] {
+        RunOnNode(from, [this, link, cause] { CloseSide(link, 0, cause); });
       });
       return;
     }
--- a/wire/address.cc
+++ b/wire/address.cc
@@ -62,6 +62,11 @@
   return address;
 }
 
+bool IsConnectable(const std::string& text) {
+  const auto address = SplitAddress(text);
+  return address && address->port != 0;
+}
+
 std::optional<host_and_port> SplitAddress(const std::string& text) {
   const auto address = ParseAddress(text);
   if (!address)
--- a/wire/address.h
+++ b/wire/address.h
@@ -21,6 +21,10 @@
 // nullopt unless the text is a numeric IP address followed by a port.
 std::optional<socket_address> ParseAddress(const std::string& text);
 
+// Returns whether the text is an address that can be connected to: one that
+// ParseAddress accepts, with a port other than 0.
+bool IsConnectable(const std::string& text);
+
 // A numeric IP address, without brackets, and a port, as evhttp takes them.
 struct host_and_port {
   std::string host;
