Fail a call whose response has no id on a reused connection

Report of other operators: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which the target had run. Here, a repeated refusal with the id of its own request was ignored already, but one without an id was taken as the answer to the next request, which was then reported as not run or sent to a second target. A response that lacks the id on a connection that has served a request before now fails the call as one that may have run, and the connection is closed.

http_target_client ARepeatedRefusalDoesNotCountForTheNextRequest failed before (the second call ended with the refusal) and passes.

--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -152,6 +152,7 @@
 
   void Send(target_call_id id, const http_request& request) {
     call_id_ = id;
+    ++sent_requests_;
     is_head_request_ = request.method == "HEAD";
     ResetResponse();
     const std::string head = BuildRequestHead(request, address_);
@@ -329,13 +330,20 @@
     const std::string& name = client_->settings_.echo_field;
     const std::string* echo =
         name.empty() ? nullptr : response_.headers.Find(name);
-    const auto found = client_->calls_.find(call_id_);
-    if (echo != nullptr && *echo != found->second->expected_echo) {
+    const std::string& expected = client_->calls_.at(call_id_)->expected_echo;
+    if (echo != nullptr && *echo != expected) {
       client_->foreign_responses_.Increment();
       reusable_ = false;
       ResetResponse();
       return true;
     }
+    // It may be an earlier response once more, so that even a refusal does not
+    // prove that this request has not run.
+    if (echo == nullptr && !expected.empty() && sent_requests_ > 1) {
+      client_->foreign_responses_.Increment();
+      client_->OnFailure(call_id_, target_error::kMalformed);
+      return false;
+    }
     client_->OnResponse(call_id_);
     return false;
   }
@@ -382,6 +390,7 @@
   time_point idle_until_ = time_point::max();
   // 0 while the connection is idle.
   target_call_id call_id_ = 0;
+  int sent_requests_ = 0;
   bool is_head_request_ = false;
   http_parser parser_{};
   http_headers fields_;
--- a/wire/http_target_client.h
+++ b/wire/http_target_client.h
@@ -26,8 +26,8 @@
   size_t max_body_bytes = 8U << 20U;
   // Name of a header field that targets copy from the request to the response.
   // A response with a different value belongs to an earlier request and is
-  // ignored. If empty, or if a response lacks the field, the response is not
-  // checked.
+  // ignored. A response without the field fails the call, unless the connection
+  // is new and can have no earlier one. If empty, responses are not checked.
   std::string echo_field;
 };
 
--- a/wire/http_target_client_test.cc
+++ b/wire/http_target_client_test.cc
@@ -209,6 +209,43 @@
   CHECK_EQUAL(0U, client->idle_connections());
 }
 
+// Guards against reporting a request as not run because the target writes an
+// earlier refusal once more on a reused connection, with or without the id of
+// the request that it had refused.
+TEST(http_target_client, ARepeatedRefusalDoesNotCountForTheNextRequest) {
+  http_target_client_settings settings;
+  settings.echo_field = "X-One";
+  const std::string refusal_start = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n";
+  const std::string refusal_end = "Content-Length: 0\r\n\r\n";
+  for (const std::string& id : {std::string("X-One: 1\r\n"), std::string()}) {
+    client = std::make_unique<http_target_client>(&loop, settings, &counters);
+    Call(Request("GET"));
+    CHECK_TRUE(AcceptOne());
+    ReadUntil("\r\n\r\n");
+    accepted.Write(refusal_start + id + refusal_end);
+    CheckError(target_error::kNone, true, "refusal");
+    LONGS_EQUAL(503, result->response.status);
+    CHECK_EQUAL(1U, client->idle_connections());
+    http_request next;
+    next.method = "POST";
+    next.path = "/next";
+    next.headers.Add("X-One", "2");
+    Call(next);
+    ReadUntil("\r\n\r\n");
+    accepted.Write(refusal_start + id + refusal_end);
+    if (id.empty()) {
+      CheckError(target_error::kMalformed, true, "refusal without an id");
+      CHECK_EQUAL(0U, client->idle_connections());
+      continue;
+    }
+    RunFor(loop, milliseconds(20));
+    CHECK_FALSE(result.has_value());
+    accepted.Write("HTTP/1.1 200 OK\r\nX-One: 2\r\nContent-Length: 0\r\n\r\n");
+    CheckError(target_error::kNone, true, "own response");
+    LONGS_EQUAL(200, result->response.status);
+  }
+}
+
 // Guards against reusing a connection whose target responded before it read the
 // whole body: it would parse the rest of the body as the next request.
 TEST(http_target_client, EarlyResponseClosesTheConnection) {
