End calls whose target sends bytes without end

The users announce that bytes that are no answer may come without end, in a head or a body, until the caller closes. Heads, bodies and trailers were bounded for each call. Not bounded were interim responses and chunk extensions (the call lasted until its deadline), responses to other requests, bytes on an idle connection (read into memory until the connection expired, up to 30 s for the store), and the bodies of all calls together, 8 MB each, which is more than a VM has.

A call now fails as too large when its response brings far more bytes than its headers and body, and as malformed after four responses to other requests. An idle connection that receives bytes stops reading and is closed at once. Above 64 MB of incomplete bodies, the calls with the largest ones fail.

http_target_client BytesWithoutEndEndTheCall (interim responses first), BytesOnAnIdleConnectionCloseIt and LargestResponsesFailWhenMemoryIsShort failed before and pass. The tests write through real sockets.

--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -27,6 +27,13 @@
 constexpr std::array<std::string_view, 7> kSupportedMethods = {
     "GET", "POST", "HEAD", "PUT", "DELETE", "OPTIONS", "PATCH"};
 
+// Responses to earlier requests that are skipped before a call fails.
+constexpr int kMaxForeignResponses = 4;
+
+// Bytes of chunk framing that are allowed for each byte of the body. Chunks of
+// one byte have five.
+constexpr size_t kMaxFramingPerBodyByte = 8;
+
 bool IsSupportedMethod(std::string_view method) {
   return std::find(kSupportedMethods.begin(), kSupportedMethods.end(),
                    method) != kSupportedMethods.end();
@@ -116,6 +123,7 @@
       : client_(client), address_(std::move(address)) {}
 
   ~connection() {
+    client_->RemoveBufferedBytes(response_.body.size());
     if (stream_ != nullptr)
       bufferevent_free(stream_);
   }
@@ -153,6 +161,7 @@
   void Send(target_call_id id, const http_request& request) {
     call_id_ = id;
     ++sent_requests_;
+    foreign_responses_ = 0;
     is_head_request_ = request.method == "HEAD";
     ResetResponse();
     const std::string head = BuildRequestHead(request, address_);
@@ -188,7 +197,11 @@
   bool connected() const { return connected_; }
   time_point idle_until() const { return idle_until_; }
   const std::string& address() const { return address_; }
-  http_response& response() { return response_; }
+  size_t buffered_bytes() const { return response_.body.size(); }
+  http_response TakeResponse() {
+    client_->RemoveBufferedBytes(response_.body.size());
+    return std::exchange(response_, http_response());
+  }
 
  private:
   static connection* FromParser(http_parser* parser) {
@@ -225,7 +238,8 @@
   void ResetResponse() {
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
-    response_ = http_response();
+    TakeResponse();
+    received_bytes_ = 0;
     field_name_.clear();
     field_value_.clear();
     header_bytes_ = 0;
@@ -287,6 +301,7 @@
       return 1;
     }
     response_.body.append(text);
+    client_->AddBufferedBytes(text.size());
     return 0;
   }
 
@@ -300,6 +315,14 @@
     return 0;
   }
 
+  // Whether the data received for the response is far more than its headers and
+  // body: interim responses, chunk extensions or trailers without end.
+  bool IsEndless() const {
+    return received_bytes_ >
+           client_->settings_.max_header_bytes +
+               response_.body.size() * (1 + kMaxFramingPerBodyByte);
+  }
+
   // Parses the received data. Returns false if that ended the call; this object
   // may then be destroyed.
   bool ParseInput() {
@@ -311,6 +334,7 @@
       const size_t parsed =
           http_parser_execute(&parser_, &ParserSettings(), bytes, size);
       evbuffer_drain(input, parsed);
+      received_bytes_ += parsed;
       if (response_complete_) {
         if (!DeliverResponse())
           return false;
@@ -319,6 +343,9 @@
                                          ? target_error::kMalformed
                                          : parse_error_);
         return false;
+      } else if (IsEndless()) {
+        client_->OnFailure(call_id_, target_error::kTooLarge);
+        return false;
       }
     }
     return true;
@@ -334,6 +361,10 @@
     if (echo != nullptr && *echo != expected) {
       client_->foreign_responses_.Increment();
       reusable_ = false;
+      if (++foreign_responses_ > kMaxForeignResponses) {
+        client_->OnFailure(call_id_, target_error::kMalformed);
+        return false;
+      }
       ResetResponse();
       return true;
     }
@@ -350,7 +381,10 @@
 
   void OnReadable() {
     if (call_id_ == 0) {
-      unusable_ = true;  // Received data without a request.
+      // Received data without a request. Stops reading, since it may not end.
+      unusable_ = true;
+      bufferevent_disable(stream_, EV_READ);
+      client_->ScheduleSweep(duration::zero());
       return;
     }
     ParseInput();
@@ -391,6 +425,10 @@
   // 0 while the connection is idle.
   target_call_id call_id_ = 0;
   int sent_requests_ = 0;
+  // Responses to other requests since the last request.
+  int foreign_responses_ = 0;
+  // Bytes parsed for the present response, including interim ones.
+  size_t received_bytes_ = 0;
   bool is_head_request_ = false;
   http_parser parser_{};
   http_headers fields_;
@@ -431,6 +469,7 @@
 
 http_target_client::~http_target_client() {
   loop_->Cancel(sweep_timer_);
+  loop_->Cancel(fail_largest_timer_);
   for (auto& [id, open_call] : calls_) {
     loop_->Cancel(open_call->timeout_timer);
     loop_->Cancel(open_call->connect_timer);
@@ -491,7 +530,7 @@
 void http_target_client::OnResponse(target_call_id id) {
   call& finished = *calls_.at(id);
   target_result result;
-  result.response = std::move(finished.conn->response());
+  result.response = finished.conn->TakeResponse();
   std::unique_ptr<connection> conn = std::move(finished.conn);
   if (conn->IsReusable()) {
     const duration idle = std::min(
@@ -514,6 +553,34 @@
   Finish(id, MakeFailure(error, may_have_run));
 }
 
+void http_target_client::AddBufferedBytes(size_t bytes) {
+  buffered_bytes_ += bytes;
+  if (buffered_bytes_ <= settings_.max_buffered_bytes ||
+      fail_largest_timer_ != 0)
+    return;
+  // A call must not end while its connection parses.
+  fail_largest_timer_ = loop_->RunAfter(duration::zero(), [this] {
+    fail_largest_timer_ = 0;
+    FailLargestCalls();
+  });
+}
+
+void http_target_client::FailLargestCalls() {
+  const auto size_of = [](const auto& each) {
+    const auto& conn = each.second->conn;
+    return conn == nullptr ? size_t{0} : conn->buffered_bytes();
+  };
+  while (buffered_bytes_ > settings_.max_buffered_bytes) {
+    const auto largest = std::max_element(
+        calls_.begin(), calls_.end(), [&](const auto& left, const auto& right) {
+          return size_of(left) < size_of(right);
+        });
+    if (largest == calls_.end() || size_of(*largest) == 0)
+      return;
+    OnFailure(largest->first, target_error::kTooLarge);
+  }
+}
+
 void http_target_client::Finish(target_call_id id,
                                 const target_result& result) {
   const auto found = calls_.find(id);
@@ -565,13 +632,13 @@
   if (pool.size() >= settings_.max_idle_per_target)
     return;
   pool.push_back(std::move(returned));
-  ScheduleSweep();
+  if (sweep_timer_ == 0)
+    ScheduleSweep(settings_.max_idle);
 }
 
-void http_target_client::ScheduleSweep() {
-  if (sweep_timer_ != 0 || idle_pools_.empty())
-    return;
-  sweep_timer_ = loop_->RunAfter(settings_.max_idle, [this] {
+void http_target_client::ScheduleSweep(duration delay) {
+  loop_->Cancel(sweep_timer_);
+  sweep_timer_ = loop_->RunAfter(delay, [this] {
     sweep_timer_ = 0;
     Sweep();
   });
@@ -587,7 +654,8 @@
                pool.end());
     position = pool.empty() ? idle_pools_.erase(position) : std::next(position);
   }
-  ScheduleSweep();
+  if (!idle_pools_.empty())
+    ScheduleSweep(settings_.max_idle);
 }
 
 size_t http_target_client::idle_connections() const {
--- a/wire/http_target_client.h
+++ b/wire/http_target_client.h
@@ -24,6 +24,9 @@
   size_t max_idle_per_target = 256;
   size_t max_header_bytes = 64U << 10U;
   size_t max_body_bytes = 8U << 20U;
+  // Upper bound of the incomplete response bodies of all calls together. Above
+  // it, the calls with the largest bodies fail.
+  size_t max_buffered_bytes = 64U << 20U;
   // Name of a header field that targets copy from the request to the response.
   // A response with a different value belongs to an earlier request and is
   // ignored. A response without the field fails the call, unless the connection
@@ -37,7 +40,8 @@
 // `may_have_run` is false only if no connection was established or the request
 // cannot be sent as HTTP. A response with neither Content-Length nor chunked
 // coding ends when the target closes the connection; if the connection is
-// reset, the call fails with kConnectionLost. A connection is reused only if
+// reset, the call fails with kConnectionLost. A response that goes on without
+// end fails the call with kTooLarge. A connection is reused only if
 // the whole request was written and no data followed the response.
 class http_target_client : public target_client {
  public:
@@ -66,21 +70,29 @@
   void ReturnToPool(std::unique_ptr<connection> returned);
   void OnResponse(target_call_id id);
   void OnFailure(target_call_id id, target_error error);
+  // Counts a change of the bytes in incomplete response bodies.
+  void AddBufferedBytes(size_t bytes);
+  void RemoveBufferedBytes(size_t bytes) { buffered_bytes_ -= bytes; }
+  // Fails calls until the buffered bytes are within their bound.
+  void FailLargestCalls();
   // Ends the call and runs its callback.
   void Finish(target_call_id id, const target_result& result);
   void FinishAsync(target_call_id id, const target_result& result);
   // Closes the pooled connections that can't be reused.
   void Sweep();
-  void ScheduleSweep();
+  void ScheduleSweep(duration delay);
 
   event_loop* loop_;
   http_target_client_settings settings_;
   target_call_id next_id_ = 1;
+  // Connections change it when they end, so it outlives them.
+  size_t buffered_bytes_ = 0;
   std::unordered_map<target_call_id, std::unique_ptr<call>> calls_;
   // By target address. The most recently used connection is last.
   std::unordered_map<std::string, std::vector<std::unique_ptr<connection>>>
       idle_pools_;
   timer_id sweep_timer_ = 0;
+  timer_id fail_largest_timer_ = 0;
   // Set if the caller passed no metrics.
   std::unique_ptr<metrics> own_metrics_;
 
--- a/wire/http_target_client_test.cc
+++ b/wire/http_target_client_test.cc
@@ -333,6 +333,110 @@
   }
 }
 
+// Guards against memory and connections that a target holds by sending bytes
+// without end, in each part of a response, until its caller closes.
+TEST(http_target_client, BytesWithoutEndEndTheCall) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(1000, 'x');
+  struct {
+    const char* name;
+    std::string start;
+    std::string repeated;
+  } const cases[] = {
+      {"no HTTP", "", filler},
+      {"status line", "HTTP/1.1 200 ", filler},
+      {"header name", ok, filler},
+      {"header value", ok + "X: ", filler},
+      {"headers", ok, "X: " + filler + "\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"body without length", ok + "\r\n", filler},
+      {"chunks", chunked, "3e8\r\n" + filler + "\r\n"},
+      {"chunk extension", chunked + "1;", filler},
+      {"trailers", chunked + "0\r\n", "X: " + filler + "\r\n"},
+      {"foreign responses", "",
+       ok + "X-One: 0\r\nContent-Length: 1000\r\n\r\n" + filler},
+  };
+  http_target_client_settings settings;
+  settings.max_body_bytes = 100'000;
+  settings.echo_field = "X-One";
+  client = std::make_unique<http_target_client>(&loop, settings, &counters);
+  // Bytes that the target can write before the connection is closed. Socket
+  // buffers hold some of them.
+  constexpr size_t kMaxWritten = 8U << 20U;
+  constexpr size_t kBytesPerRound = 10'000;
+  for (const auto& test_case : cases) {
+    Call(Request("GET"), seconds(60));
+    CHECK_TRUE_TEXT(AcceptOne(), test_case.name);
+    ReadUntil("\r\n\r\n");
+    accepted.Write(test_case.start);
+    size_t written = 0;
+    std::string pending;
+    RunUntil(loop, [&] {
+      while (pending.size() < kBytesPerRound)
+        pending += test_case.repeated;
+      const size_t count = accepted.TryWrite(pending);
+      pending.erase(0, count);
+      written += count;
+      return result.has_value() || written > kMaxWritten;
+    });
+    CHECK_TRUE_TEXT(result.has_value(), test_case.name);
+    CHECK_TRUE_TEXT(result->error == target_error::kTooLarge ||
+                        result->error == target_error::kMalformed,
+                    test_case.name);
+    CHECK_TRUE_TEXT(result->may_have_run, test_case.name);
+    CHECK_EQUAL(0U, client->idle_connections());
+  }
+}
+
+// Guards against a target that sends bytes without end on an idle connection:
+// they must not be kept until the connection is used or expires.
+TEST(http_target_client, BytesOnAnIdleConnectionCloseIt) {
+  http_target_client_settings settings;
+  settings.max_idle = seconds(30);
+  client = std::make_unique<http_target_client>(&loop, settings, &counters);
+  Call(Request("GET"));
+  CHECK_TRUE(AcceptOne());
+  ReadUntil("\r\n\r\n");
+  accepted.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CheckError(target_error::kNone, true, "response");
+  CHECK_EQUAL(1U, client->idle_connections());
+  accepted.Write("x");
+  CHECK_TRUE(RunUntil(loop, [&] { return client->idle_connections() == 0; }));
+}
+
+// Guards against a process that runs out of memory because many targets send
+// large responses at the same time, and against failing small ones for that.
+TEST(http_target_client, LargestResponsesFailWhenMemoryIsShort) {
+  http_target_client_settings settings;
+  settings.max_body_bytes = 1'000'000;
+  settings.max_buffered_bytes = 100'000;
+  client = std::make_unique<http_target_client>(&loop, settings, &counters);
+  std::vector<raw_socket> sockets;
+  std::vector<std::optional<target_result>> results(4);
+  for (size_t i = 0; i < results.size(); ++i) {
+    client->Call(listener.address(), Request("GET"), seconds(60),
+                 [&results, i](const target_result& got) { results[i] = got; });
+    CHECK_TRUE(AcceptOne());
+    ReadUntil("\r\n\r\n");
+    sockets.push_back(std::move(accepted));
+  }
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  for (const raw_socket& each : sockets)
+    each.Write(head + std::string(20'000, 'x'));
+  RunFor(loop, milliseconds(50));
+  sockets[2].Write(std::string(60'000, 'x'));
+  CHECK_TRUE(RunUntil(loop, [&] { return results[2].has_value(); }));
+  CHECK_TRUE(results[2]->error == target_error::kTooLarge);
+  for (const size_t i : {0U, 1U, 3U}) {
+    CHECK_FALSE(results[i].has_value());
+    sockets[i].Close();
+    CHECK_TRUE(RunUntil(loop, [&] { return results[i].has_value(); }));
+    CHECK_TRUE(results[i]->error == target_error::kNone);
+    CHECK_EQUAL(20'000U, results[i]->response.body.size());
+  }
+}
+
 // Guards against a response that ends the wrong call: data that follows a
 // response, at once or later, must not be parsed as the next response.
 TEST(http_target_client, ExtraBytesAreNotTakenAsAResponse) {
