--- a/testing/memory_network.cc
+++ b/testing/memory_network.cc
@@ -102,6 +102,7 @@
   node->info = info;
   nodes_[info.address] = node;
   all_nodes_.push_back(node);
+  known_addresses_.insert(info.address);
   return node.get();
 }
 
@@ -223,10 +224,12 @@
       return;
     const auto target = nodes_.find(to);
     if (target == nodes_.end()) {
-      // Only a machine refuses connections; no attempt to connect is made to
-      // text that is no address.
-      const link_down_cause cause = ParseAddress(to) ? link_down_cause::kRefused
-                                                     : link_down_cause::kClosed;
+      // Only a machine can refuse a connection. Nothing is sent to text that is
+      // neither an address nor the name of a node that has run here.
+      const bool exists =
+          ParseAddress(to).has_value() || known_addresses_.count(to) > 0;
+      const link_down_cause cause =
+          exists ? link_down_cause::kRefused : link_down_cause::kClosed;
       RunAfter(delay, [this, link, from, cause] {
         RunOnNode(from, [this, link, cause] { CloseSide(link, 0, cause); });
       });
--- a/testing/memory_network.h
+++ b/testing/memory_network.h
@@ -150,6 +150,8 @@
   memory_network_options options_;
   std::map<std::string, node_ref> nodes_;
   std::vector<node_ref> all_nodes_;
+  // Addresses of all nodes so far.
+  std::set<std::string> known_addresses_;
   std::vector<std::pair<std::set<std::string>, std::set<std::string>>>
       partitions_;
   std::map<std::pair<std::string, std::string>, link_delay> zone_delays_;
