Name limits and departures in the fault soak

Workers of the soak now name limits of 1 to 3 requests a second, or their departure, in their answers while nodes are killed, paused, stopped and cut off, and come back as a new run under the same id. target_status_check counts what reaches them from nodes that have passed such an answer on, with the users' bounds; a restart or pause of a node excuses it. The worker stand-in echoes the request id in refusals too, as the platform's workers do.

--- a/testing/soak.cc
+++ b/testing/soak.cc
@@ -18,6 +18,7 @@
 #include "testing/run_until.h"
 #include "testing/soak_worker.h"
 #include "testing/store_stand_in.h"
+#include "testing/target_status_check.h"
 #include "wire/http_target_client.h"
 
 namespace skylarkhoist {
@@ -58,6 +59,8 @@
   request_outcome outcome = request_outcome::kPending;
   int runs = 0;
   time_point last_run_at;
+  // Node beside the worker of the last run.
+  size_t worker_node = 0;
 };
 
 class soak_run {
@@ -102,6 +105,7 @@
     std::unique_ptr<fault_proxy> store_proxy;
     std::unique_ptr<fault_proxy> worker_proxy;
     std::unique_ptr<soak_worker> worker;
+    target_status_check status_check;
     // 0 while no process runs.
     pid_t pid = 0;
     bool paused = false;
@@ -169,7 +173,9 @@
     worker_settings.id = "w" + std::to_string(index);
     node.worker = std::make_unique<soak_worker>(
         &loop_, worker_settings, &random_,
-        [this](const http_request& request) { OnRunAtWorker(request); });
+        [this, index](const http_request& request) {
+          OnRunAtWorker(index, request);
+        });
     node.worker_proxy = std::make_unique<fault_proxy>(&loop_, host + ":7012",
                                                       node.worker->address());
     node.worker->SetPublicAddress(node.worker_proxy->address());
@@ -203,6 +209,7 @@
     node->stopping = false;
     node->paused = false;
     node->last_fault_at = loop_.Now();
+    ExcuseNode(static_cast<size_t>(node - nodes_.data()));
     const pid_t pid = fork();
     if (pid == 0) {
       const int log_fd = open(node->log_file.c_str(),
@@ -253,6 +260,12 @@
     loop_.RunAfter(milliseconds(20), [this] { SuperviseNodes(); });
   }
 
+  // Nothing that the node has passed on binds it any more.
+  void ExcuseNode(size_t index) {
+    for (soak_node& node : nodes_)
+      node.status_check.OnNodeExcused(index);
+  }
+
   void RecordFault(soak_node* node) { node->last_fault_at = loop_.Now(); }
 
   // Injects one fault and, until `end`, schedules the next. Faults can overlap.
@@ -264,12 +277,12 @@
     const auto length = std::chrono::duration_cast<duration>(
         (kMaxFaultLength - milliseconds(200)) * random_.Fraction() +
         milliseconds(200));
-    InjectFault(static_cast<int>(random_.Below(12)), index, length);
+    InjectFault(static_cast<int>(random_.Below(14)), index, length);
     loop_.RunAfter(milliseconds(100 + random_.Below(900)),
                    [this, end] { InjectNextFault(end); });
   }
 
-  // `kind` is below 12. A fault with two numbers is twice as likely.
+  // `kind` is below 14. A fault with two numbers is twice as likely.
   void InjectFault(int kind, size_t index, duration length) {
     soak_node& node = nodes_[index];
     switch (kind) {
@@ -304,12 +317,38 @@
       case 10:
         InjectStoreFault(length);
         return;
+      case 11:
+        NameLimit(&node, length);
+        return;
+      case 12:
+        NameDeparture(&node, length);
+        return;
       default:
         ToggleOldKey();
         return;
     }
   }
 
+  // The limit lasts until after the time in which nodes may adjust to it.
+  void NameLimit(soak_node* node, duration length) {
+    const auto per_second = static_cast<double>(1 + random_.Below(3));
+    node->worker->NameLimit(per_second);
+    node->status_check.BeginLimit(per_second, loop_.Now());
+    loop_.RunAfter(length + kFaultEffectTime, [node] {
+      node->worker->NameLimit(std::nullopt);
+      node->status_check.Clear();
+    });
+  }
+
+  void NameDeparture(soak_node* node, duration length) {
+    node->worker->NameDeparture();
+    node->status_check.BeginDeparture();
+    loop_.RunAfter(length + kFaultEffectTime, [node] {
+      node->worker->Restart();
+      node->status_check.Clear();
+    });
+  }
+
   proxy_fault RandomProxyFault() {
     return static_cast<proxy_fault>(1 + random_.Below(3));
   }
@@ -319,6 +358,7 @@
       return;
     nodes_[index].paused = true;
     RecordFault(&nodes_[index]);
+    ExcuseNode(index);
     kill(nodes_[index].pid, SIGSTOP);
     const pid_t pid = nodes_[index].pid;
     loop_.RunAfter(length, [this, index, pid] {
@@ -408,6 +448,8 @@
       node.store_proxy->Reset();
       node.worker_proxy->Reset();
       node.worker->DropResponses(false);
+      node.worker->Restart();
+      node.status_check.Clear();
       if (node.paused && node.pid > 0)
         kill(node.pid, SIGCONT);
       node.paused = false;
@@ -458,6 +500,11 @@
       return;
     }
     const http_response& response = result.response;
+    target_status_check& check = nodes_[ended.worker_node].status_check;
+    if (response.headers.Find("Server-Limit") != nullptr)
+      check.OnLimitPassedOn(ended.node, loop_.Now());
+    if (response.headers.Find("Server-Leaving") != nullptr)
+      check.OnDeparturePassedOn(ended.node, loop_.Now());
     if (response.status == 200) {
       ended.outcome = request_outcome::kServed;
       const std::string* signature =
@@ -490,7 +537,7 @@
         ": ran, but a planned stop closed its connection without a response");
   }
 
-  void OnRunAtWorker(const http_request& request) {
+  void OnRunAtWorker(size_t worker_node, const http_request& request) {
     const std::string id = *request.headers.Find("X-Request-Id");
     const auto found = requests_.find(id);
     if (found == requests_.end()) {
@@ -499,6 +546,10 @@
     }
     soak_request& ran = found->second;
     ran.last_run_at = loop_.Now();
+    ran.worker_node = worker_node;
+    if (const auto violation = nodes_[worker_node].status_check.OnRun(
+            ran.node, ran.sent_at, loop_.Now()))
+      AddViolation(id + ": " + *violation);
     if (++ran.runs > 1 && !ran.repeatable)
       AddViolation(id + ": ran more than once");
     if (ran.outcome == request_outcome::kRefused && !ran.repeatable)
--- a/testing/soak.h
+++ b/testing/soak.h
@@ -53,6 +53,8 @@
 // - A worker gets the customer of the request's key, but not the key.
 // - A withdrawn key is not served by a node without recent faults.
 // - A planned stop cuts off no request when no node had recent faults.
+// - A worker that names a limit or its departure in its responses gets no more
+//   requests than that from the nodes that passed such a response on.
 // - Requests are served again after the faults.
 soak_result RunSoak(const soak_options& options);
 
--- a/testing/soak_worker.cc
+++ b/testing/soak_worker.cc
@@ -62,6 +62,13 @@
   SendReport();
 }
 
+void soak_worker::Restart() {
+  ++run_;
+  report_sequence_ = 0;
+  limit_.reset();
+  leaving_ = false;
+}
+
 void soak_worker::SendReport() {
   http_request report;
   report.method = "POST";
@@ -76,7 +83,8 @@
       {"state", "ready"},
       {"coldRemainingMs", 0},
       {"seq", ++report_sequence_},
-      {"born", 1}}.dump();
+      {"born",
+       run_}}.dump();
   client_.Call(settings_.node_address, report, settings_.report_interval,
                [](const target_result&) {});
   report_timer_ =
@@ -95,6 +103,11 @@
     return;
   }
   on_run_(request);
+  response.headers.Add("X-Request-Id", *id);
+  if (limit_)
+    response.headers.Add("Server-Limit", std::to_string(*limit_));
+  if (leaving_)
+    response.headers.Add("Server-Leaving", "1");
   if (claim_not_executed_) {
     response.status = 503;
     response.headers.Add("X-Not-Executed", "1");
@@ -102,7 +115,6 @@
     return;
   }
   response.status = 200;
-  response.headers.Add("X-Request-Id", *id);
   response.headers.Add("X-Response-Signature", SignatureFor(*id));
   response.body = BodyFor(*id);
   const duration run_time = kMinRunTime * (1 + random_->Below(4));
--- a/testing/soak_worker.h
+++ b/testing/soak_worker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "kernel/event_loop.h"
@@ -55,6 +56,13 @@
   // Makes the worker run requests and respond that it has not run them.
   void ClaimNotExecuted(bool claim) { claim_not_executed_ = claim; }
 
+  // Names a limit of requests per second in the responses; nothing ends it.
+  void NameLimit(std::optional<double> per_second) { limit_ = per_second; }
+  // Names its departure in the responses, while its reports say otherwise.
+  void NameDeparture() { leaving_ = true; }
+  // Becomes a new run of the worker under the same id.
+  void Restart();
+
   // Body and X-Response-Signature of the response to the request with this id.
   static std::string BodyFor(const std::string& id);
   static std::string SignatureFor(const std::string& id);
@@ -71,6 +79,10 @@
   metrics counters_;
   http_target_client client_;
   int64_t report_sequence_ = 0;
+  // Start time in the reports; identifies the run.
+  int64_t run_ = 1;
+  std::optional<double> limit_;
+  bool leaving_ = false;
   bool drop_responses_ = false;
   bool claim_not_executed_ = false;
   timer_id report_timer_ = 0;
