--- a/wire/http_target_client_test.cc
+++ b/wire/http_target_client_test.cc
@@ -215,14 +215,18 @@
 TEST(http_target_client, ARepeatedRefusalDoesNotCountForTheNextRequest) {
   http_target_client_settings settings;
   settings.echo_field = "X-One";
-  const std::string refusal_start = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n";
-  const std::string refusal_end = "Content-Length: 0\r\n\r\n";
+  const auto refusal_with = [](const std::string& id_field) {
+    std::string refusal = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n";
+    refusal += id_field;
+    refusal += "Content-Length: 0\r\n\r\n";
+    return refusal;
+  };
   for (const std::string& id : {std::string("X-One: 1\r\n"), std::string()}) {
     client = std::make_unique<http_target_client>(&loop, settings, &counters);
     Call(Request("GET"));
     CHECK_TRUE(AcceptOne());
     ReadUntil("\r\n\r\n");
-    accepted.Write(refusal_start + id + refusal_end);
+    accepted.Write(refusal_with(id));
     CheckError(target_error::kNone, true, "refusal");
     LONGS_EQUAL(503, result->response.status);
     CHECK_EQUAL(1U, client->idle_connections());
@@ -232,7 +236,7 @@
     next.headers.Add("X-One", "2");
     Call(next);
     ReadUntil("\r\n\r\n");
-    accepted.Write(refusal_start + id + refusal_end);
+    accepted.Write(refusal_with(id));
     if (id.empty()) {
       CheckError(target_error::kMalformed, true, "refusal without an id");
       CHECK_EQUAL(0U, client->idle_connections());
