Attribute what a target says to the run that the call was sent to

Found while reading the change: a late answer of a target's last run, which said that it leaves, was taken for one of its new run under the same id. The new run was then out of service until its end, since a departure never ends. Executions now keep the id and generation of the run that they were sent to, and the answer counts for that run only.

target_limits ALateDepartureDoesNotBindTheNextRun failed before and passes. The bound of the queue under a named limit is written in one step instead of nested minima; named_limit passes unchanged.

--- a/decisions/target_scheduler.cc
+++ b/decisions/target_scheduler.cc
@@ -49,13 +49,11 @@
       static_cast<size_t>(limit_->Limit()) * kQueueLengthPerSlot +
       kExtraQueueLength;
   if (named_limit_) {
-    const double drain_seconds =
-        std::chrono::duration<double>(kQueueDrainTime).count();
-    options.max_length = std::min(
-        options.max_length,
-        std::max<size_t>(1, static_cast<size_t>(std::min(
-                                *named_limit_ * drain_seconds,
-                                static_cast<double>(options.max_length)))));
+    const double max_waiting =
+        *named_limit_ * std::chrono::duration<double>(kQueueDrainTime).count();
+    if (max_waiting < static_cast<double>(options.max_length))
+      options.max_length =
+          std::max<size_t>(1, static_cast<size_t>(max_waiting));
   }
   queue_->Update(options);
 }
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -529,7 +529,7 @@
 
   execution->running = true;
   execution->started_at = now;
-  execution->target_id = target->announcement.id;
+  execution->run = RunOf(target->announcement);
   if (on_run_)
     on_run_(execution->call.route, true);
   queue_wait_.Observe(
@@ -609,9 +609,8 @@
 void executor::RecordStatus(local_target* target,
                             const open_execution& ended,
                             const http_response& response) {
-  if (ended.target_id != target->announcement.id)
-    return;  // Another target uses the address now.
-  target_statuses_.OnResponse(RunOf(target->announcement),
+  // The target may have restarted since; this says nothing of its new run.
+  target_statuses_.OnResponse(ended.run,
                               options_.dialect->ReadTargetStatus(response),
                               ended.started_at, loop_->Now());
   UpdateStatus(target, "response");
--- a/node/executor.h
+++ b/node/executor.h
@@ -172,8 +172,8 @@
     // Set when the call runs; empty when the caller sent none.
     std::string caller_id;
     std::string target_address;
-    // Id of the target that runs the call.
-    std::string target_id;
+    // Run of the target that the call was sent to.
+    target_run run;
     time_point deadline;
     time_point arrived_at;
     time_point started_at;
--- a/node/target_limits_test.cc
+++ b/node/target_limits_test.cc
@@ -175,6 +175,25 @@
   CHECK_TRUE(RunsAt(0) > before);
 }
 
+// Guards against a target that stays out of service for good because a late
+// response of its last run, which left, is taken for one of its new run under
+// the same id.
+TEST(target_limits, ALateDepartureDoesNotBindTheNextRun) {
+  fleet.targets().SlowDown(fleet.target_address(0), 60, milliseconds(100));
+  for (int i = 0; i < 20; ++i)
+    responses.push_back(fleet.Send(0, "/safe/x", "k1"));
+  fleet.Advance(milliseconds(100));
+  CHECK_TRUE(RunsAt(0) > 0);
+  NameDeparture(0);
+  fleet.RestartTarget(0, duration::zero());
+  TakeResponses(200);
+  fleet.targets().SetResponseField(fleet.target_address(0),
+                                   kPlatformTargetLeavingField, "");
+  const int64_t before = RunsAt(0);
+  SendLoad({0, 1, 2, 3, 4, 5}, 50, seconds(7));
+  CHECK_TRUE(RunsAt(0) > before);
+}
+
 // Guards against a node that restarts beside a leaving target, hears its
 // announcement, which says nothing of it, and sends it calls of nodes that have
 // passed its departure on.
