--- a/node/config_follower.cc
+++ b/node/config_follower.cc
@@ -430,8 +430,8 @@
 
 void config_follower::SendUpdate(const std::string& address,
                                  uint64_t from_offset) {
-  fbs::config_newsT news;
-  news.applied_offset = fold_.offset();
+  fbs::config_newsT update;
+  update.applied_offset = fold_.offset();
   const uint64_t first_offset = fold_.offset() + 1 - recent_records_.size();
   size_t bytes = 0;
   for (uint64_t offset = std::max(from_offset, first_offset);
@@ -440,33 +440,34 @@
     record->offset = offset;
     record->data = recent_records_[offset - first_offset];
     bytes += record->data.size();
-    news.records.push_back(std::move(record));
+    update.records.push_back(std::move(record));
   }
-  peers_->Send(address, MakeEnvelope(std::move(news)));
+  peers_->Send(address, MakeEnvelope(std::move(update)));
 }
 
 void config_follower::HandleUpdate(const std::string& from,
-                                   const fbs::config_newsT& news) {
+                                   const fbs::config_newsT& update) {
   const uint64_t offset_before = fold_.offset();
   bool roster_changed = false;
-  for (const auto& record : news.records) {
+  for (const auto& record : update.records) {
     if (record != nullptr)
       roster_changed =
           ApplyRecord(record->offset, record->data) || roster_changed;
   }
   const bool advanced = fold_.offset() != offset_before;
-  if (news.applied_offset >= fold_.offset())
+  if (update.applied_offset >= fold_.offset())
     log_heard_at_ = loop_->Now();
   if (advanced) {
     // A node that has never read the log has the whole state once it reaches
     // the offset of the sender.
-    ready_ = ready_ || fold_.offset() >= news.applied_offset;
+    ready_ = ready_ || fold_.offset() >= update.applied_offset;
     RefreshView(true, roster_changed);
     ForwardUpdate(offset_before + 1, false);
-  } else if (news.records.empty() && news.applied_offset == fold_.offset()) {
+  } else if (update.records.empty() &&
+             update.applied_offset == fold_.offset()) {
     ForwardUpdate(fold_.offset() + 1, false);
   }
-  if (news.applied_offset > fold_.offset()) {
+  if (update.applied_offset > fold_.offset()) {
     // The sender answers in parts, so request the next part without delay.
     if (advanced)
       last_request_at_ = loop_->Now() - kRequestInterval;
--- a/node/config_follower.h
+++ b/node/config_follower.h
@@ -141,7 +141,7 @@
   void OnChange(std::function<void()> callback);
 
   // Handle messages from peers.
-  void HandleUpdate(const std::string& from, const fbs::config_newsT& news);
+  void HandleUpdate(const std::string& from, const fbs::config_newsT& update);
   void HandleRequest(const std::string& from,
                      const fbs::config_requestT& request);
   void HandleState(const std::string& from, const fbs::config_stateT& state);
--- a/node/config_follower_test.cc
+++ b/node/config_follower_test.cc
@@ -273,12 +273,12 @@
     state.state = text;
     fleet->follower(0).HandleState("x", state);
   }
-  fbs::config_newsT news;
-  news.applied_offset = 9;
-  news.records.push_back(nullptr);
-  news.records.push_back(std::make_unique<fbs::log_recordT>());
-  news.records.back()->offset = 5;
-  fleet->follower(0).HandleUpdate("x", news);
+  fbs::config_newsT update;
+  update.applied_offset = 9;
+  update.records.push_back(nullptr);
+  update.records.push_back(std::make_unique<fbs::log_recordT>());
+  update.records.back()->offset = 5;
+  fleet->follower(0).HandleUpdate("x", update);
   CHECK_EQUAL(1, fleet->follower(0).applied_offset());
   CHECK_EQUAL(0, fleet->reverts());
 }
--- a/node/node.cc
+++ b/node/node.cc
@@ -324,8 +324,8 @@
   const fbs::payloadUnion& body = message.body;
   if (const auto* gossip = body.Asgossip())
     members_.HandleGossip(from, *gossip);
-  else if (const auto* news = body.Asconfig_news())
-    config_.HandleUpdate(from.address, *news);
+  else if (const auto* update = body.Asconfig_news())
+    config_.HandleUpdate(from.address, *update);
   else if (const auto* request = body.Asconfig_request())
     config_.HandleRequest(from.address, *request);
   else if (const auto* state = body.Asconfig_state())
--- a/testing/config_fleet.cc
+++ b/testing/config_fleet.cc
@@ -42,8 +42,8 @@
 
   void OnPeerMessage(const peer_info& from,
                      const fbs::envelopeT& message) override {
-    if (const auto* news = message.body.Asconfig_news())
-      follower->HandleUpdate(from.address, *news);
+    if (const auto* update = message.body.Asconfig_news())
+      follower->HandleUpdate(from.address, *update);
     else if (const auto* request = message.body.Asconfig_request())
       follower->HandleRequest(from.address, *request);
     else if (const auto* state = message.body.Asconfig_state())
--- a/wire/frame.cc
+++ b/wire/frame.cc
@@ -48,8 +48,8 @@
       Add(state->answer());
     } else if (const auto* gossip = message.body_as_gossip()) {
       Add(gossip->entries());
-    } else if (const auto* news = message.body_as_config_news()) {
-      Add(news->records());
+    } else if (const auto* update = message.body_as_config_news()) {
+      Add(update->records());
     } else if (const auto* verdict = message.body_as_dedup_verdict()) {
       Add(verdict->answer());
     } else if (const auto* result = message.body_as_dedup_result()) {
