Retry calls that no target has received while another target has capacity

Cause: a call that the node beside a target refused, because its queue was full or the target names a limit, was retried only within the budget for repeats, and not at all while the node's average load of the service was high.

Change: such a retry needs no budget if another target has capacity as far as its reports tell; no target has received the call. Slow start compares targets with the one that was seen first: if all are new, as after a loss of power, calls no longer leave the zone because of it (new test NoSlowStartWhenAllTargetsAreNew).

--- a/decisions/least_loaded_routing.cc
+++ b/decisions/least_loaded_routing.cc
@@ -16,6 +16,12 @@
     return candidates[second].open_calls < candidates[first].open_calls ? second
                                                                         : first;
   }
+
+  // It knows no capacities.
+  bool HasCapacity(const std::vector<route_candidate>& /*candidates*/,
+                   time_point /*now*/) const override {
+    return false;
+  }
 };
 
 const routing_registry::registration kLeastLoaded("least_loaded", [] {
--- a/decisions/routing_policy.h
+++ b/decisions/routing_policy.h
@@ -47,6 +47,10 @@
       const std::vector<route_candidate>& candidates,
       time_point now,
       random_source& random) = 0;
+
+  // Returns whether one of the candidates has capacity, as far as is known.
+  virtual bool HasCapacity(const std::vector<route_candidate>& candidates,
+                           time_point now) const = 0;
 };
 
 using routing_registry = plugin_registry<routing_policy>;
--- a/decisions/zone_aware_routing.cc
+++ b/decisions/zone_aware_routing.cc
@@ -15,7 +15,8 @@
 // Limit assumed for a target whose limit is unknown.
 constexpr int kDefaultLimit = 8;
 // Slow start: the share of calls that a new target gets grows from the minimum
-// share to its full share within this time.
+// share to its full share within this time, compared with the target that was
+// seen first.
 constexpr duration kSlowStartTime = std::chrono::seconds(5);
 constexpr double kSlowStartMinShare = 0.1;
 constexpr double kFullPermille = 1000;
@@ -65,8 +66,11 @@
     std::vector<estimated_target> failing_targets;
     std::vector<estimated_target> all_targets;
     double lowest_failure_rate = 1.0;
-    for (const route_candidate& each : candidates)
+    double highest_share = kSlowStartMinShare;
+    for (const route_candidate& each : candidates) {
       lowest_failure_rate = std::min(lowest_failure_rate, each.failure_rate);
+      highest_share = std::max(highest_share, SlowStartShare(each, now));
+    }
     const double max_failure_rate =
         kFailureRateMargin + lowest_failure_rate * kFailureRateFactor;
     for (size_t i = 0; i < candidates.size(); ++i) {
@@ -74,7 +78,7 @@
       const estimated_target estimated = {i, EstimateLoad(each, now)};
       all_targets.push_back(estimated);
       if (estimated.estimate >= kFullPermille ||
-          SkippedBySlowStart(each, now, random))
+          random.Fraction() * highest_share >= SlowStartShare(each, now))
         continue;
       if (each.failure_rate > max_failure_rate)
         failing_targets.push_back(estimated);
@@ -90,22 +94,26 @@
     return std::nullopt;
   }
 
+  bool HasCapacity(const std::vector<route_candidate>& candidates,
+                   time_point now) const override {
+    return std::any_of(candidates.begin(), candidates.end(),
+                       [&](const route_candidate& each) {
+                         return EstimateLoad(each, now) < kFullPermille;
+                       });
+  }
+
  private:
   struct estimated_target {
     size_t index;
     double estimate;
   };
 
-  static bool SkippedBySlowStart(const route_candidate& candidate,
-                                 time_point now,
-                                 random_source& random) {
-    const duration age = now - candidate.first_seen;
-    if (age >= kSlowStartTime)
-      return false;
-    const double share =
-        std::max(std::chrono::duration<double>(age) / kSlowStartTime,
-                 kSlowStartMinShare);
-    return random.Fraction() >= share;
+  static double SlowStartShare(const route_candidate& candidate,
+                               time_point now) {
+    const double age_share =
+        std::chrono::duration<double>(now - candidate.first_seen) /
+        kSlowStartTime;
+    return std::clamp(age_share, kSlowStartMinShare, 1.0);
   }
 
   static size_t LessLoaded(const std::vector<estimated_target>& group,
--- a/decisions/zone_aware_routing_test.cc
+++ b/decisions/zone_aware_routing_test.cc
@@ -86,6 +86,17 @@
   }
 }
 
+// Load pattern: all nodes start at once, as after a loss of power. Guards
+// against calls to other zones only because the near targets have just been
+// found, when the others have been found no earlier.
+TEST(zone_aware, NoSlowStartWhenAllTargetsAreNew) {
+  std::vector<route_candidate> candidates = {
+      Candidate(true, 0), Candidate(false, 0), Candidate(false, 0)};
+  for (route_candidate& each : candidates)
+    each.first_seen = now - milliseconds(200);
+  LONGS_EQUAL(200, Picks(candidates, 200)[0]);
+}
+
 // Load pattern: one target of the same zone loses two fifths of its answers
 // while others have capacity. Guards against sending calls to it all the same,
 // and against avoiding targets because a service behind all of them fails.
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -731,24 +731,19 @@
 
 // Takes one retry from the request's credit and one from the service's budget.
 // Returns false when one of them or the route's maximum of attempts is used up.
-// A retry after a target or node that accepts no calls at all adds no load and
-// needs no budget; neither does one after a target that limits its calls while
-// others of the service have capacity.
+// A retry of a call that no target has received adds no load to the service
+// while another target has capacity, and needs no budget then.
 bool entry::ConsumeRetry(open_call* call, reason why) {
   if (call->credit <= 0 ||
       (call->max_attempts > 0 &&
        call->lost_runs + call->shed_attempts >= call->max_attempts))
     return false;
-  const bool target_absent = why == reason::kNoTarget ||
-                             why == reason::kDraining ||
-                             why == reason::kZoneOut;
-  const time_point now = loop_->Now();
-  const auto level = admission_.LoadPermilleOf(call->service, now);
-  const bool overloaded =
-      level && *level >= admission_controller::kTargetLoadPermille;
-  if (!target_absent && (why != reason::kTargetLimited || overloaded)) {
+  if (!NeedsNoBudget(*call, why)) {
+    const time_point now = loop_->Now();
+    const auto level = admission_.LoadPermilleOf(call->service, now);
     retry_budget& budget = RetryBudgetOf(call->service);
-    budget.SetOverloaded(overloaded);
+    budget.SetOverloaded(level &&
+                         *level >= admission_controller::kTargetLoadPermille);
     if (!budget.TakeRetry(now))
       return false;
   }
@@ -756,6 +751,21 @@
   return true;
 }
 
+bool entry::NeedsNoBudget(const open_call& call, reason why) {
+  switch (why) {
+    case reason::kNoTarget:
+    case reason::kDraining:
+    case reason::kZoneOut:
+      return true;
+    case reason::kTargetLimited:
+    case reason::kQueueFull:
+    case reason::kQueueTimeout:
+      return routing_->HasCapacity(CollectCandidates(call), loop_->Now());
+    default:
+      return false;
+  }
+}
+
 void entry::FinishAnswered(open_call* call, const fbs::call_answerT& answer) {
   http_response response;
   response.status = answer.status;
--- a/node/entry.h
+++ b/node/entry.h
@@ -308,6 +308,7 @@
   void OnAttemptRefused(open_call* call, reason why, bool local);
   void OnAttemptLost(open_call* call, reason why, fbs::ran_state ran);
   bool ConsumeRetry(open_call* call, reason why);
+  bool NeedsNoBudget(const open_call& call, reason why);
   std::vector<std::string> DownstreamServicesOf(const open_call& call) const;
   std::vector<std::string> LearnedDownstreamServices(
       const std::string& route) const;
