Exchange views of nodes between zones instead of linking all nodes

Cause: each node kept a link with each other node, sent its entry over it, and read the store.

Change: a node links with the nodes of its own zone. Two relays in each zone, chosen by a hash of their names (zone_roles), subscribe to one node of each other zone; the others subscribe to a relay (zone_view_exchange). node_view_table keeps what is known and passes each change on once. Two readers in each zone read the configuration and notify their zone; others read in their place while the store does not answer them. Token buckets belong to a few of the nodes (one in 16, at least 12), so nodes need links with few owners. Nodes of earlier versions are still linked directly, and while one is live all nodes choose owners as it does. A zone that restarts without the store gets addresses from others.

Tests: zone_views (traffic between zones does not depend on the number of nodes; lost and silent relays; a zone out of reach; a zone that restarts without the store), zone_roles, node_view_table.

--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -1,7 +1,5 @@
 #include "node/hosted_node.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -39,10 +37,6 @@
 // calls and waits in the queue for each of them.
 constexpr uint32_t kChainTargetLoadPermille = 1150;
 
-uint64_t ReaderHash(const std::string& name) {
-  return XXH64(name.data(), name.size(), 0);
-}
-
 constexpr duration kIdleCheckInterval = std::chrono::milliseconds(20);
 
 peer_info SelfInfo(const hosted_node_options& options) {
@@ -120,6 +114,7 @@
       config_(parts.run_loop,
               parts.store,
               &transport_,
+              options_.zone,
               parts.record_reader,
               parts.counters),
       tokens_(parts.run_loop,
@@ -140,6 +135,10 @@
     tokens_.SetConfig(config_.view());
   });
   config_.OnNewRecords([this] { BroadcastOffset(); });
+  config_.OnStoreChange([this](bool lost) {
+    directory_.SetStoreLost(options_.peer_address, lost);
+    BroadcastOffset();
+  });
   directory_.OnMembersChanged([this] { OnMembersChanged(); });
   executor_.OnTargetsChanged(
       [this] { directory_.SetTargets(executor_.DescribeTargets()); });
@@ -190,26 +189,45 @@
   estimated_calls_.OnCall(route, parts_.run_loop->Now());
 }
 
-// Sends an extra heartbeat to all peers, because the transport sends none on
-// links that carry no other messages.
+// Sends extra heartbeats, because the transport sends none on idle links and
+// others only at its interval.
 void hosted_node::BroadcastOffset() {
-  for (const std::string& peer : directory_.LivePeers())
-    transport_.Send(peer, MakeEnvelope(MakeHeartbeat()));
+  for (const auto& peers : {directory_.ZonePeers(), directory_.Neighbours()}) {
+    for (const std::string& peer : peers)
+      transport_.Send(peer, MakeEnvelope(MakeHeartbeat()));
+  }
 }
 
-// Nodes are ranked by a hash of their names, so all nodes with links to each
-// other choose the same primary readers. Each side of a network partition
-// chooses its own.
-size_t hosted_node::ReaderRank() const {
-  size_t preceding = 0;
-  for (const auto& [address, name] : directory_.LiveNodes())
-    preceding += ReaderHash(name) < ReaderHash(options_.name) ? 1 : 0;
-  return preceding;
+// All readers of the fleet read in turn: first those of the first zone, by
+// their rank in it.
+void hosted_node::UpdateReader() {
+  const std::vector<std::string> readers = directory_.Roles().readers;
+  const auto own =
+      std::find(readers.begin(), readers.end(), options_.peer_address);
+  if (own == readers.end()) {
+    config_.SetReader(std::nullopt);
+    return;
+  }
+  const std::vector<std::string> zones = directory_.Zones();
+  const auto zone = std::find(zones.begin(), zones.end(), options_.zone);
+  const size_t per_zone = ReadersPerZone(zones.size());
+  const size_t rank = static_cast<size_t>(own - readers.begin()) % per_zone;
+  reader_turn turn;
+  turn.position = static_cast<size_t>(zone - zones.begin()) * per_zone + rank;
+  turn.count = zones.size() * per_zone;
+  config_.SetReader(turn);
 }
 
 void hosted_node::OnMembersChanged() {
-  config_.SetReaderRank(ReaderRank());
-  tokens_.SetMembers(directory_.LiveNodes(), directory_.HasMajority());
+  UpdateReader();
+  token_members members;
+  members.has_majority = directory_.HasMajority();
+  for (const node_view& node : directory_.LiveViews()) {
+    members.names.emplace(node.address, node.name);
+    members.all_limit_owners =
+        members.all_limit_owners && node.protocol >= kZoneViewProtocol;
+  }
+  tokens_.SetMembers(members);
 }
 
 void hosted_node::OnPeerMessage(const peer_info& from,
@@ -222,13 +240,25 @@
   else if (const auto* config_request = body.Asconfig_request())
     config_.HandleRequest(from.address, *config_request);
   else if (const auto* config_state = body.Asconfig_state())
-    config_.HandleState(from.address, *config_state);
+    config_.HandleState(from, *config_state);
   else if (const auto* token_request = body.Astoken_request())
     tokens_.HandleRequest(from, *token_request);
   else if (const auto* token_grant = body.Astoken_grant())
     tokens_.HandleGrant(from, *token_grant);
+  else if (const auto* view_request = body.Aszone_view_request())
+    directory_.HandleViewRequest(from, *view_request);
+  else if (const auto* view = body.Aszone_view())
+    directory_.HandleView(from, *view);
+  else if (const auto* addresses = body.Asnode_addresses())
+    directory_.HandleAddresses(*addresses);
   else if (const auto* heartbeat = body.Asheartbeat())
-    config_.OnPeerOffset(from.address, heartbeat->applied_offset);
+    HandleHeartbeat(from, *heartbeat);
+}
+
+void hosted_node::HandleHeartbeat(const peer_info& from,
+                                  const fbs::heartbeatT& heartbeat) {
+  directory_.SetStoreLost(from.address, heartbeat.store_lost);
+  config_.OnPeerOffset(from, heartbeat.applied_offset);
 }
 
 void hosted_node::OnLinkUp(const peer_info& peer) {
@@ -245,6 +275,7 @@
   fbs::heartbeatT heartbeat;
   heartbeat.counter = ++heartbeat_counter_;
   heartbeat.applied_offset = config_.applied_offset();
+  heartbeat.store_lost = config_.store_lost();
   return heartbeat;
 }
 
@@ -325,17 +356,17 @@
   status["open_requests"] = entry_.open_calls();
   status["open_executions"] = executor_.open_calls();
   json members = json::array();
-  for (const fbs::member_entryT& entry : directory_.Entries()) {
+  for (const node_view& node : directory_.LiveViews()) {
     json targets = json::array();
-    for (const auto& target : entry.targets) {
-      targets.push_back({{"service", target->service},
-                         {"address", target->address},
-                         {"state", ToText(target->state)},
-                         {"limit", target->limit}});
+    for (const target_view& target : node.targets) {
+      targets.push_back({{"service", target.service},
+                         {"address", target.address},
+                         {"state", target.serving ? "serving" : "draining"},
+                         {"limit", target.limit}});
     }
-    members.push_back({{"node", entry.node},
-                       {"zone", entry.zone},
-                       {"peer_address", entry.peer_address},
+    members.push_back({{"node", node.name},
+                       {"zone", node.zone},
+                       {"peer_address", node.address},
                        {"targets", targets}});
   }
   status["members"] = members;
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -115,9 +115,12 @@
   void OnLinkDown(const peer_info& peer, link_down_cause cause) override;
   fbs::heartbeatT MakeHeartbeat() override;
 
+  void HandleHeartbeat(const peer_info& from, const fbs::heartbeatT& heartbeat);
   void OnMembersChanged();
+  // Informs the nodes of the own zone, and a few of other zones, which records
+  // this node has applied.
   void BroadcastOffset();
-  size_t ReaderRank() const;
+  void UpdateReader();
   void OnRun(const std::string& route, bool started);
   void OnLocalCall(const std::string& route, const std::string& parent_route);
   void DrainTarget();
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -1,10 +1,12 @@
 #include "node/node_directory.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "kernel/json.h"
 #include "kernel/log.h"
+#include "node/node_view_messages.h"
 #include "wire/address.h"
 
 namespace skylarkhoist {
@@ -13,10 +15,18 @@
 constexpr duration kMinRetryDelay = std::chrono::milliseconds(200);
 constexpr duration kMaxRetryDelay = std::chrono::seconds(2);
 
+// Bounds the addresses that one message may add.
+constexpr size_t kMaxReceivedAddresses = 4096;
+
 fbs::member_entryT CopyOf(const fbs::member_entryT& entry) {
   return entry;
 }
 
+peer_info SelfInfo(const node_directory_options& options) {
+  return {options.peer_address, options.node, options.zone,
+          options.incarnation};
+}
+
 bool SameTargets(const std::vector<std::unique_ptr<fbs::target_entryT>>& before,
                  const std::vector<fbs::target_entryT>& after) {
   return before.size() == after.size() &&
@@ -29,18 +39,6 @@
                     });
 }
 
-// Records when each target came into service and removes those out of service.
-void UpdateServingSince(const fbs::member_entryT& entry,
-                        time_point now,
-                        std::map<std::string, time_point>* serving_since) {
-  for (const auto& target : entry.targets) {
-    if (target->state == fbs::member_state::kServing)
-      serving_since->try_emplace(target->address, now);
-    else
-      serving_since->erase(target->address);
-  }
-}
-
 }  // namespace
 
 node_directory::node_directory(loop* loop,
@@ -50,21 +48,33 @@
     : loop_(loop),
       store_(store),
       transport_(transport),
-      options_(std::move(options)) {
+      options_(std::move(options)),
+      views_(loop, transport, SelfInfo(options_), &own_zone_, options_.views) {
   self_.node = options_.node;
   self_.zone = options_.zone;
   self_.peer_address = options_.peer_address;
   self_.incarnation = options_.incarnation;
   self_.version = 1;
+  self_.protocol = kMaxPeerProtocol;
+  self_.lacks_addresses = true;
+  views_.OnChange([this] { NotifyMembersChanged(); });
+  views_.OnLackingAddresses(
+      [this](const std::string& publisher) { SendAddresses(publisher); });
+  UpdateOwnView();
 }
 
 node_directory::~node_directory() {
   loop_->Cancel(step_timer_);
   loop_->Cancel(reconnect_timer_);
+  loop_->Cancel(settling_timer_);
+  loop_->Cancel(role_timer_);
+  loop_->Cancel(change_timer_);
 }
 
 void node_directory::Start() {
   WriteOwnRecord();
+  views_.Start();
+  AllowRolesAfter(options_.max_role_delay);
   reconnect_timer_ =
       loop_->RunAfter(options_.reconnect_interval, [this] { Reconnect(); });
 }
@@ -106,6 +116,25 @@
       });
 }
 
+bool node_directory::AddMember(const std::string& address,
+                               const std::string& node,
+                               const std::string& zone) {
+  // The record of a node that used this node's address earlier is ignored.
+  if (address == options_.peer_address)
+    return false;
+  const auto [found, inserted] = members_.try_emplace(address);
+  if (!inserted)
+    return false;
+  found->second.node = node;
+  found->second.zone = zone;
+  found->second.unlinked_since = loop_->Now();
+  if (IsOwnZone(found->second)) {
+    found->second.attempted_at = loop_->Now();
+    SendOwnEntry(address);
+  }
+  return true;
+}
+
 void node_directory::OnNodeRecords(
     const tl::expected<keyed_batch, store_error>& result) {
   if (!result) {
@@ -114,6 +143,7 @@
     return;
   }
   retry_delay_ = duration::zero();
+  self_.lacks_addresses = false;
   size_t added = 0;
   for (const keyed_record& record : result->records) {
     if (!record.value || record.key == options_.node)
@@ -126,24 +156,73 @@
       LogWarning("directory", "bad_record", {{"key", record.key}});
       continue;
     }
-    const std::string address = (*value)["address"];
-    // The record of a node that used this node's address earlier.
-    if (address == options_.peer_address)
-      continue;
-    const auto [found, inserted] = members_.try_emplace(address);
-    if (!inserted)
-      continue;
-    ++added;
-    found->second.node = record.key;
-    found->second.zone = (*value)["zone"];
-    SendOwnEntry(address);
+    added += AddMember((*value)["address"], record.key, (*value)["zone"]);
   }
   LogStateChange("directory", "nodes_read",
                  {{"added", std::to_string(added)},
                   {"known", std::to_string(members_.size())}});
+  if (!std::exchange(has_read_records_, true)) {
+    settling_timer_ = loop_->RunAfter(options_.settling_time, [this] {
+      settling_timer_ = 0;
+      OnSettled();
+    });
+    AllowRolesAfter(options_.role_delay);
+  }
   if (added > 0)
     NotifyMembersChanged();
-  ScheduleStep(options_.refresh_interval, &node_directory::ReadNodeRecords);
+  const zone_roles roles = Roles();
+  const bool is_relay = std::find(roles.relays.begin(), roles.relays.end(),
+                                  options_.peer_address) != roles.relays.end();
+  ScheduleStep(
+      is_relay ? options_.relay_refresh_interval : options_.refresh_interval,
+      &node_directory::ReadNodeRecords);
+}
+
+void node_directory::AllowRolesAfter(duration delay) {
+  if (allows_roles_)
+    return;
+  loop_->Cancel(role_timer_);
+  role_timer_ = loop_->RunAfter(delay, [this] {
+    role_timer_ = 0;
+    allows_roles_ = true;
+    NotifyMembersChanged();
+  });
+}
+
+void node_directory::OnSettled() {
+  settled_ = true;
+  for (const auto& [address, each] : members_) {
+    if (IsOwnZone(each))
+      UpdateView(address, each);
+  }
+  views_.SetOwnZoneComplete();
+}
+
+void node_directory::SendAddresses(const std::string& to) {
+  fbs::node_addressesT message;
+  for (const auto& [address, each] : members_) {
+    if (each.ended || address == to)
+      continue;
+    auto item = std::make_unique<fbs::node_addressT>();
+    item->address = address;
+    item->zone = each.zone;
+    message.addresses.push_back(std::move(item));
+  }
+  transport_->Send(to, MakeEnvelope(std::move(message)));
+}
+
+void node_directory::HandleAddresses(const fbs::node_addressesT& message) {
+  bool added = false;
+  const size_t count =
+      std::min(message.addresses.size(), kMaxReceivedAddresses);
+  for (size_t i = 0; i < count; ++i) {
+    const auto& item = message.addresses[i];
+    if (item != nullptr && IsConnectable(item->address) && !item->zone.empty())
+      added = AddMember(item->address, std::string(), item->zone) || added;
+  }
+  self_.lacks_addresses = false;
+  if (added)
+    NotifyMembersChanged();
 }
 
 void node_directory::SendOwnEntry(const std::string& address) {
@@ -152,30 +231,45 @@
   transport_->Send(address, MakeEnvelope(std::move(gossip)));
 }
 
+bool node_directory::IsKnownDirectly(const member& each) const {
+  return IsOwnZone(each) || each.protocol < kZoneViewProtocol;
+}
+
 void node_directory::BroadcastOwnEntry() {
   ++self_.version;
+  UpdateOwnView();
   for (const auto& [address, each] : members_) {
-    if (each.linked)
+    if (each.linked && IsKnownDirectly(each))
       SendOwnEntry(address);
   }
 }
 
 void node_directory::Reconnect() {
-  for (const auto& [address, each] : members_) {
-    if (!each.linked)
-      SendOwnEntry(address);
+  const time_point now = loop_->Now();
+  for (auto& [address, each] : members_) {
+    if (each.linked || !IsOwnZone(each))
+      continue;
+    const bool long_lost = now - each.unlinked_since >= options_.long_lost_time;
+    if (long_lost && now - each.attempted_at < options_.slow_reconnect_interval)
+      continue;
+    each.attempted_at = now;
+    SendOwnEntry(address);
   }
   reconnect_timer_ =
       loop_->RunAfter(options_.reconnect_interval, [this] { Reconnect(); });
 }
 
+void node_directory::UpdateOwnView() {
+  own_zone_.Update(ViewOf(self_, node_status::kLive), loop_->Now());
+  views_.OnOwnZoneChanged();
+}
+
 void node_directory::SetTargets(
     const std::vector<fbs::target_entryT>& targets) {
   const bool same = SameTargets(self_.targets, targets);
   self_.targets.clear();
   for (const fbs::target_entryT& target : targets)
     self_.targets.push_back(std::make_unique<fbs::target_entryT>(target));
-  UpdateServingSince(self_, loop_->Now(), &own_serving_since_);
   if (!same)
     BroadcastOwnEntry();
 }
@@ -183,6 +277,7 @@
 void node_directory::SetDraining() {
   self_.state = fbs::member_state::kDraining;
   BroadcastOwnEntry();
+  NotifyMembersChanged();
 }
 
 void node_directory::Leave(std::function<void()> done) {
@@ -201,7 +296,7 @@
   member& sender = found->second;
   const fbs::member_entryT& entry = *gossip.entries.front();
   if (entry.incarnation != from.incarnation ||
-      entry.peer_address != from.address ||
+      entry.peer_address != from.address || entry.zone != sender.zone ||
       (sender.entry.incarnation == entry.incarnation &&
        sender.entry.version >= entry.version))
     return;
@@ -209,130 +304,260 @@
     if (target == nullptr)
       return;
   }
-  const bool ended = entry.state == fbs::member_state::kGone;
-  const bool changed = ended != sender.ended;
+  const bool was_draining = sender.entry.state != fbs::member_state::kServing;
   sender.entry = CopyOf(entry);
+  const bool ended = entry.state == fbs::member_state::kGone;
+  const bool changed =
+      ended != sender.ended ||
+      was_draining != (entry.state != fbs::member_state::kServing);
   sender.ended = ended;
-  if (entry.state == fbs::member_state::kServing)
-    UpdateServingSince(entry, loop_->Now(), &sender.serving_since);
-  else
-    sender.serving_since.clear();
+  UpdateView(from.address, sender);
+  if (entry.lacks_addresses && !self_.lacks_addresses)
+    SendAddresses(from.address);
   if (changed)
     NotifyMembersChanged();
 }
 
+// Updates the view of a node that is known directly.
+void node_directory::UpdateView(const std::string& address,
+                                const member& each) {
+  if (!IsKnownDirectly(each) || (each.incarnation == 0 && !settled_))
+    return;
+  fbs::member_entryT entry = CopyOf(each.entry);
+  if (entry.incarnation != each.incarnation || entry.peer_address.empty()) {
+    entry = fbs::member_entryT();
+    entry.node = each.node;
+    entry.zone = each.zone;
+    entry.peer_address = address;
+    entry.incarnation = each.incarnation;
+    entry.protocol = each.protocol;
+  }
+  node_status status = node_status::kLost;
+  if (each.ended)
+    status = node_status::kEnded;
+  else if (each.linked)
+    status = node_status::kLive;
+  if (IsOwnZone(each)) {
+    if (own_zone_.Update(ViewOf(entry, status), loop_->Now()))
+      views_.OnOwnZoneChanged();
+  } else {
+    direct_nodes_.Update(ViewOf(entry, status), loop_->Now());
+  }
+}
+
 void node_directory::OnLinkUp(const peer_info& peer) {
   if (peer.address == options_.peer_address)
     return;
   member& known = members_[peer.address];
   if (known.incarnation != peer.incarnation) {
     known.entry = fbs::member_entryT();
-    known.serving_since.clear();
+    known.store_lost = false;
   }
   known.node = peer.node;
   known.zone = peer.zone;
   known.incarnation = peer.incarnation;
+  known.protocol = peer.protocol;
   known.linked = true;
   known.ended = false;
+  failed_links_.erase(peer.address);
   LogStateChange("directory", "link_up",
                  {{"peer", peer.node}, {"address", peer.address}});
-  SendOwnEntry(peer.address);
+  UpdateView(peer.address, known);
+  if (IsKnownDirectly(known))
+    SendOwnEntry(peer.address);
   NotifyMembersChanged();
 }
 
 void node_directory::OnLinkDown(const peer_info& peer, link_down_cause cause) {
+  views_.OnLinkDown(peer);
   const auto found = members_.find(peer.address);
   if (found == members_.end())
     return;
   member& known = found->second;
   const bool ended = cause == link_down_cause::kRefused;
-  if (!known.linked && known.ended == (known.ended || ended))
+  if (!known.linked && known.ended == (known.ended || ended) &&
+      IsOwnZone(known))
     return;
-  if (known.linked)
+  if (known.linked) {
     LogStateChange("directory", "link_down",
                    {{"peer", known.node},
                     {"address", peer.address},
                     {"cause", std::to_string(static_cast<int>(cause))}});
+    known.unlinked_since = loop_->Now();
+  }
   known.linked = false;
+  if (!IsKnownDirectly(known)) {
+    failed_links_[peer.address] = {known.incarnation,
+                                   loop_->Now() + options_.failed_link_pause};
+    return;
+  }
   known.ended = known.ended || ended;
-  known.serving_since.clear();
-  // A new entry arrives over the next link.
-  known.entry = fbs::member_entryT();
+  UpdateView(peer.address, known);
   NotifyMembersChanged();
 }
 
+void node_directory::SetStoreLost(const std::string& address, bool lost) {
+  const auto found = members_.find(address);
+  if (address != options_.peer_address && found == members_.end())
+    return;
+  bool& known = address == options_.peer_address ? own_store_lost_
+                                                 : found->second.store_lost;
+  if (std::exchange(known, lost) != lost)
+    NotifyMembersChanged();
+}
+
+// Reports changes in a later round of the loop, so that many links that come up
+// at the same time are reported once.
 void node_directory::NotifyMembersChanged() {
-  if (members_changed_callback_)
-    members_changed_callback_();
+  if (change_timer_ != 0)
+    return;
+  change_timer_ = loop_->RunAfter(options_.change_delay, [this] {
+    change_timer_ = 0;
+    std::map<std::string, std::set<std::string>> addresses;
+    for (const auto& [address, each] : members_) {
+      if (!IsOwnZone(each) && each.protocol >= kZoneViewProtocol)
+        addresses[each.zone].insert(address);
+    }
+    for (const node_view* node : views_.other_zones().Nodes()) {
+      if (node->status != node_status::kEnded)
+        addresses[node->zone].insert(node->address);
+    }
+    views_.SetAddresses(addresses, self_.lacks_addresses);
+    views_.SetRelays(Roles().relays);
+    if (members_changed_callback_)
+      members_changed_callback_();
+  });
+}
+
+bool node_directory::HasFailedLink(const node_view& node) const {
+  const auto failed = failed_links_.find(node.address);
+  return failed != failed_links_.end() &&
+         failed->second.incarnation == node.incarnation &&
+         loop_->Now() < failed->second.until;
+}
+
+void node_directory::AddTargets(const node_view_table& table,
+                                const node_view& node,
+                                const std::string& service,
+                                std::vector<target_info>* found) const {
+  if (node.status != node_status::kLive || node.draining)
+    return;
+  for (const target_view& target : node.targets) {
+    if (target.service != service || !target.serving)
+      continue;
+    target_info item;
+    item.peer_address = node.address;
+    item.zone = node.zone;
+    item.incarnation = node.incarnation;
+    item.load_permille = target.load_permille;
+    item.limit = target.limit;
+    item.first_seen = table.ServingSince(node.address, target.address);
+    found->push_back(std::move(item));
+  }
 }
 
 std::vector<target_info> node_directory::TargetsOf(
     const std::string& service) const {
   std::vector<target_info> found;
-  const auto add = [&](const fbs::member_entryT& entry,
-                       const std::map<std::string, time_point>& serving_since) {
-    if (entry.state != fbs::member_state::kServing)
-      return;
-    for (const auto& target : entry.targets) {
-      if (target->service != service ||
-          target->state != fbs::member_state::kServing)
-        continue;
-      target_info item;
-      item.peer_address = entry.peer_address;
-      item.zone = entry.zone;
-      item.incarnation = entry.incarnation;
-      item.load_permille = target->load_permille;
-      item.limit = target->limit;
-      const auto start = serving_since.find(target->address);
-      if (start != serving_since.end())
-        item.first_seen = start->second;
-      found.push_back(std::move(item));
-    }
-  };
-  add(self_, own_serving_since_);
-  for (const auto& [address, each] : members_) {
-    if (each.linked)
-      add(each.entry, each.serving_since);
+  for (const node_view* node : own_zone_.Nodes())
+    AddTargets(own_zone_, *node, service, &found);
+  const node_view_table& other_zones = views_.other_zones();
+  for (const node_view* node : other_zones.Nodes()) {
+    if (views_.WasInReach(node->zone) && !HasFailedLink(*node))
+      AddTargets(other_zones, *node, service, &found);
+  }
+  for (const node_view* node : direct_nodes_.Nodes()) {
+    if (!views_.IsInReach(node->zone))
+      AddTargets(direct_nodes_, *node, service, &found);
   }
   return found;
 }
 
-std::vector<std::string> node_directory::LivePeers() const {
-  std::vector<std::string> live;
+std::vector<std::string> node_directory::ZonePeers() const {
+  std::vector<std::string> peers;
   for (const auto& [address, each] : members_) {
-    if (each.linked && !each.ended)
-      live.push_back(address);
+    if (IsOwnZone(each) && each.linked && !each.ended)
+      peers.push_back(address);
   }
-  return live;
+  return peers;
 }
 
-std::map<std::string, std::string> node_directory::LiveNodes() const {
-  std::map<std::string, std::string> live = {
-      {options_.peer_address, options_.node}};
-  for (const auto& [address, each] : members_) {
-    if (each.linked && !each.ended)
-      live.emplace(address, each.node);
+std::vector<node_view> node_directory::LiveViews() const {
+  std::vector<node_view> live = {ViewOf(self_, node_status::kLive)};
+  const auto add = [&](const node_view& node) {
+    if (node.status == node_status::kLive &&
+        node.address != options_.peer_address)
+      live.push_back(node);
+  };
+  for (const node_view* node : own_zone_.Nodes())
+    add(*node);
+  for (const node_view* node : views_.other_zones().Nodes()) {
+    if (views_.IsInReach(node->zone))
+      add(*node);
+  }
+  for (const node_view* node : direct_nodes_.Nodes()) {
+    if (!views_.IsInReach(node->zone))
+      add(*node);
   }
   return live;
 }
 
+node_status node_directory::StatusOf(const std::string& address,
+                                     const member& each) const {
+  if (!IsOwnZone(each)) {
+    const node_view* node = views_.other_zones().Find(address);
+    if (node != nullptr &&
+        (views_.IsInReach(each.zone) || node->status == node_status::kEnded))
+      return node->status;
+    if (!IsKnownDirectly(each))
+      return node_status::kLost;
+  }
+  if (each.ended)
+    return node_status::kEnded;
+  return each.linked ? node_status::kLive : node_status::kLost;
+}
+
 bool node_directory::HasMajority() const {
   size_t running = 1;
-  size_t linked = 1;
-  for (const auto& [address, each] : members_) {
-    running += each.ended ? 0 : 1;
-    linked += each.linked && !each.ended ? 1 : 0;
+  size_t live = 1;
+  const auto count = [&](node_status status) {
+    running += status == node_status::kEnded ? 0 : 1;
+    live += status == node_status::kLive ? 1 : 0;
+  };
+  for (const auto& [address, each] : members_)
+    count(StatusOf(address, each));
+  for (const node_view* node : views_.other_zones().Nodes()) {
+    if (members_.count(node->address) > 0)
+      continue;
+    const bool counts_as_lost =
+        node->status == node_status::kLive && !views_.IsInReach(node->zone);
+    count(counts_as_lost ? node_status::kLost : node->status);
   }
-  return linked * 2 > running;
+  return live * 2 > running;
 }
 
-std::vector<fbs::member_entryT> node_directory::Entries() const {
-  std::vector<fbs::member_entryT> entries = {self_};
+zone_roles node_directory::Roles() const {
+  if (!allows_roles_)
+    return {};
+  std::vector<zone_node> nodes;
+  if (self_.state == fbs::member_state::kServing)
+    nodes.push_back({options_.peer_address, options_.node, own_store_lost_});
   for (const auto& [address, each] : members_) {
-    if (each.linked)
-      entries.push_back(each.entry);
+    if (IsOwnZone(each) && each.linked && !each.ended &&
+        each.protocol >= kZoneViewProtocol &&
+        each.entry.state == fbs::member_state::kServing)
+      nodes.push_back({address, each.node, each.store_lost});
   }
-  return entries;
+  return AssignZoneRoles(nodes, Zones().size());
+}
+
+std::vector<std::string> node_directory::Zones() const {
+  std::set<std::string> zones = {options_.zone};
+  for (const auto& [address, each] : members_)
+    zones.insert(each.zone);
+  for (const node_view* node : views_.other_zones().Nodes())
+    zones.insert(node->zone);
+  return {zones.begin(), zones.end()};
 }
 
 }  // namespace skylarkhoist
--- a/node/store_config_follower.cc
+++ b/node/store_config_follower.cc
@@ -11,35 +11,37 @@
 
 // Time that a read waits at the store for new records (long poll). A record
 // that is written while a read arrives at the store may not wake this read.
-// That happens after a change, when all nodes start their next read at the same
-// time and another change follows soon, so a primary reader first waits for a
+// That happens after a change, when several nodes start their next read at the
+// same time and another change follows soon, so a reader first waits for a
 // short time.
 constexpr duration kFirstPollWait = std::chrono::milliseconds(400);
-// A primary reader notices only at the end of its read that the store has
-// become silent. The primary readers are staggered over this time.
-constexpr duration kPrimaryPollWait = std::chrono::seconds(4);
-constexpr duration kSecondaryPollWait = std::chrono::seconds(20);
+// A reader notices only at the end of its read that the store has become
+// silent. The readers are staggered over this time.
+constexpr duration kPollWait = std::chrono::seconds(4);
 
-// A primary reader whose read is not answered within this time after the end of
+// A reader whose read is not answered within this time after the end of
 // its wait starts another one.
 constexpr duration kLateAnswer = std::chrono::milliseconds(500);
 
-// Pause between two reads of a primary reader, so that records written in quick
-// succession are read together. Well below the time within which a change must
-// take effect.
-constexpr duration kPrimaryReadPause = std::chrono::milliseconds(50);
-// The same for the other nodes, which are notified of changes.
-constexpr duration kSecondaryReadPause = std::chrono::milliseconds(250);
+// Pause between two reads, so that records written in quick succession are read
+// together. Well below the time within which a change must take effect.
+constexpr duration kReadPause = std::chrono::milliseconds(50);
 
-// Pause after a failed read.
+// Pause after a failed read, for readers and for nodes without a configuration.
 constexpr duration kMinRetryDelay = std::chrono::milliseconds(200);
-constexpr duration kMaxPrimaryRetryDelay = std::chrono::milliseconds(500);
-constexpr duration kMaxSecondaryRetryDelay = std::chrono::seconds(1);
+constexpr duration kMaxReaderRetryDelay = std::chrono::milliseconds(500);
+constexpr duration kMaxRetryDelay = std::chrono::seconds(1);
 
-// Delay before a node that can read the store requests newer records from a
+// Delay before a reader that the store answers requests newer records from a
 // peer. Its own reads, with the pause between them, show a change within this
 // time after its peers see it.
-constexpr duration kPeerRequestDelay = std::chrono::milliseconds(500);
+constexpr duration kReaderRequestDelay = std::chrono::milliseconds(500);
+// Delay before other nodes request records from another zone. The readers of
+// their own zone usually have them by then.
+constexpr duration kOtherZoneRequestDelay = std::chrono::milliseconds(300);
+
+// A node that no longer reads may reach the store again after this time.
+constexpr duration kStoreLostMemory = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -47,11 +49,13 @@
     loop* loop,
     keyed_store* store,
     peer_transport* transport,
+    std::string own_zone,
     const operator_record_reader* reader,
     metrics* counters)
     : loop_(loop),
       store_(store),
       transport_(transport),
+      own_zone_(std::move(own_zone)),
       reader_(reader),
       version_gauge_(counters->Gauge("skylarkhoist_config_version",
                                      "Version of the configuration in force")),
@@ -72,7 +76,7 @@
 store_config_follower::~store_config_follower() {
   loop_->Cancel(read_timer_);
   loop_->Cancel(late_timer_);
-  loop_->Cancel(peer_request_timer_);
+  loop_->Cancel(request_timer_);
 }
 
 void store_config_follower::Start() {
@@ -88,29 +92,47 @@
                          : -1;
 }
 
-void store_config_follower::SetReaderRank(size_t rank) {
-  const bool was_primary = IsPrimaryReader();
-  reader_rank_ = rank;
-  // The read in progress may wait too long for a primary reader.
-  if (IsPrimaryReader() && !was_primary && has_read_store_ && read_timer_ == 0)
-    ReadNext(NextPollWait());
+bool store_config_follower::store_lost() const {
+  return !store_available_ &&
+         (IsReader() || loop_->Now() - store_lost_at_ < kStoreLostMemory);
+}
+
+void store_config_follower::SetReader(const std::optional<reader_turn>& turn) {
+  const bool was_reader = IsReader();
+  turn_ = turn;
+  if (!was_reader)
+    Read();
+}
+
+void store_config_follower::Read() {
+  const bool read_in_progress = open_reads_ > 0 && late_timer_ != 0;
+  if (IsReader() && !read_in_progress && read_timer_ == 0)
+    ReadAfter(NextPollWait());
+}
+
+// Reads the newest records, or those after the ones that this node has.
+void store_config_follower::ReadAfter(duration poll_wait) {
+  if (applied_offset_ > 0)
+    ReadNext(poll_wait);
+  else
+    ReadNewest();
 }
 
 duration store_config_follower::NextPollWait() const {
-  if (!IsPrimaryReader())
-    return kSecondaryPollWait;
   if (empty_reads_ == 0)
     return kFirstPollWait;
-  if (empty_reads_ > 1)
-    return kPrimaryPollWait;
-  const auto position = static_cast<duration::rep>(reader_rank_ + 1);
-  return kPrimaryPollWait * position /
-         static_cast<duration::rep>(kPrimaryReaders);
+  if (empty_reads_ > 1 || !IsReader())
+    return kPollWait;
+  return kPollWait * static_cast<duration::rep>(turn_->position + 1) /
+         static_cast<duration::rep>(turn_->count);
 }
 
-uint64_t store_config_follower::BeginRead() {
+uint64_t store_config_follower::BeginRead(duration poll_wait) {
   loop_->Cancel(late_timer_);
-  late_timer_ = 0;
+  late_timer_ = loop_->RunAfter(poll_wait + kLateAnswer, [this] {
+    late_timer_ = 0;
+    OnLateAnswer();
+  });
   store_reads_.Increment();
   read_started_at_ = loop_->Now();
   read_missed_records_ = false;
@@ -119,7 +141,7 @@
 }
 
 void store_config_follower::ReadNewest() {
-  const uint64_t read = BeginRead();
+  const uint64_t read = BeginRead(duration::zero());
   store_->ReadNewest(
       store_topic::kOperators,
       [this, read, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
@@ -129,12 +151,7 @@
 }
 
 void store_config_follower::ReadNext(duration poll_wait) {
-  const uint64_t read = BeginRead();
-  if (IsPrimaryReader())
-    late_timer_ = loop_->RunAfter(poll_wait + kLateAnswer, [this] {
-      late_timer_ = 0;
-      OnLateAnswer();
-    });
+  const uint64_t read = BeginRead(poll_wait);
   store_->ReadFrom(
       store_topic::kOperators, applied_offset_, poll_wait,
       [this, read, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
@@ -149,15 +166,17 @@
 void store_config_follower::OnLateAnswer() {
   late_store_reads_.Increment();
   SetStoreLost("late");
-  ReadNext(duration::zero());
+  if (IsReader() || !ready())
+    ReadAfter(duration::zero());
 }
 
 void store_config_follower::ScheduleNextRead() {
-  read_timer_ = loop_->RunAfter(
-      IsPrimaryReader() ? kPrimaryReadPause : kSecondaryReadPause, [this] {
-        read_timer_ = 0;
-        ReadNext(NextPollWait());
-      });
+  if (!IsReader())
+    return;
+  read_timer_ = loop_->RunAfter(kReadPause, [this] {
+    read_timer_ = 0;
+    ReadNext(NextPollWait());
+  });
 }
 
 void store_config_follower::OnRead(
@@ -180,13 +199,7 @@
       ScheduleRetry(result.error());
     return;
   }
-  if (!store_available_)
-    LogStateChange("state", "store_regained",
-                   {{"applied", std::to_string(applied_offset_)},
-                    {"store_age_ms", std::to_string(StoreAgeMs())}});
-  store_available_ = true;
-  has_read_store_ = true;
-  last_store_answer_ = loop_->Now();
+  SetStoreAnswered();
   retry_delay_ = duration::zero();
   empty_reads_ = result->records.empty() ? empty_reads_ + 1 : 0;
   keyed_batch batch = *result;
@@ -194,8 +207,7 @@
     AddDeletedKeys(&batch);
   const uint64_t previous_offset = applied_offset_;
   Apply(batch, full_read ? "store_newest" : "store");
-  if (IsPrimaryReader() && applied_offset_ > previous_offset &&
-      new_records_callback_)
+  if (IsReader() && applied_offset_ > previous_offset && new_records_callback_)
     new_records_callback_();
   if (!superseded)
     ScheduleNextRead();
@@ -223,21 +235,36 @@
                                                           read_started_at_))},
                 {"store_age_ms", std::to_string(StoreAgeMs())}});
   }
-  store_available_ = false;
+  const bool changed = std::exchange(store_available_, false);
+  store_lost_at_ = loop_->Now();
+  if (changed && store_change_callback_)
+    store_change_callback_(true);
+}
+
+void store_config_follower::SetStoreAnswered() {
+  if (!store_available_)
+    LogStateChange("state", "store_regained",
+                   {{"applied", std::to_string(applied_offset_)},
+                    {"store_age_ms", std::to_string(StoreAgeMs())}});
+  const bool changed = !std::exchange(store_available_, true);
+  has_read_store_ = true;
+  last_store_answer_ = loop_->Now();
+  if (changed && store_change_callback_)
+    store_change_callback_(false);
 }
 
 void store_config_follower::ScheduleRetry(store_error error) {
   store_read_failures_.Increment();
   SetStoreLost(error == store_error::kRefused ? "refused" : "no_answer");
-  retry_delay_ = std::clamp(
-      retry_delay_ * 2, kMinRetryDelay,
-      IsPrimaryReader() ? kMaxPrimaryRetryDelay : kMaxSecondaryRetryDelay);
+  // The other nodes get the records from their peers.
+  if (!IsReader() && ready())
+    return;
+  retry_delay_ = std::clamp(retry_delay_ * 2, kMinRetryDelay,
+                            IsReader() ? kMaxReaderRetryDelay : kMaxRetryDelay);
   read_timer_ = loop_->RunAfter(retry_delay_, [this] {
     read_timer_ = 0;
-    if (has_read_store_)
-      ReadNext(NextPollWait());
-    else
-      ReadNewest();
+    if (IsReader() || !ready())
+      ReadAfter(NextPollWait());
   });
 }
 
@@ -304,47 +331,70 @@
     change_callback_();
 }
 
-void store_config_follower::OnPeerOffset(const std::string& address,
+duration store_config_follower::RequestDelay(bool own_zone) const {
+  if (IsReader())
+    return store_available_ ? kReaderRequestDelay : duration::zero();
+  return own_zone || !ready() ? duration::zero() : kOtherZoneRequestDelay;
+}
+
+void store_config_follower::OnPeerOffset(const peer_info& from,
                                          uint64_t offset) {
-  if (offset <= applied_offset_ || offset <= most_advanced_offset_)
+  if (offset <= applied_offset_)
     return;
-  most_advanced_offset_ = offset;
-  most_advanced_peer_ = address;
-  if (peer_request_timer_ != 0)
+  const bool own_zone = from.zone == own_zone_;
+  const bool is_better =
+      !offer_ || offset > offer_->offset ||
+      (offset == offer_->offset && own_zone && !offer_->own_zone);
+  if (is_better)
+    offer_ = peer_offer{from.address, own_zone, offset};
+  const time_point request_at = loop_->Now() + RequestDelay(own_zone);
+  if (request_timer_ != 0 && request_at_ <= request_at)
     return;
-  peer_request_timer_ = loop_->RunAfter(
-      store_available_ ? kPeerRequestDelay : duration::zero(), [this] {
-        peer_request_timer_ = 0;
-        const uint64_t wanted_offset = std::exchange(most_advanced_offset_, 0);
-        if (applied_offset_ >= wanted_offset)
-          return;
-        read_missed_records_ = read_timer_ == 0;
-        fbs::config_requestT request;
-        request.from_offset = applied_offset_;
-        transport_->Send(most_advanced_peer_, MakeEnvelope(request));
-      });
+  loop_->Cancel(request_timer_);
+  request_at_ = request_at;
+  request_timer_ = loop_->RunAfter(request_at - loop_->Now(), [this] {
+    request_timer_ = 0;
+    RequestRecords();
+  });
+}
+
+void store_config_follower::RequestRecords() {
+  const std::optional<peer_offer> offer = std::exchange(offer_, std::nullopt);
+  if (!offer || applied_offset_ >= offer->offset)
+    return;
+  read_missed_records_ = IsReader() && read_timer_ == 0;
+  fbs::config_requestT request;
+  request.from_offset = applied_offset_;
+  transport_->Send(offer->address, MakeEnvelope(request));
 }
 
 void store_config_follower::HandleRequest(const std::string& address,
                                           const fbs::config_requestT& request) {
   if (request.from_offset >= applied_offset_)
     return;
-  json records = json::array();
-  for (const auto& [key, record] : newest_records_) {
-    if (record.offset < request.from_offset)
-      continue;
-    json item = {{"key", key}, {"offset", record.offset}};
-    if (record.value)
-      item["value"] = *record.value;
-    records.push_back(std::move(item));
+  if (encoded_records_.empty() || encoded_from_ != request.from_offset ||
+      encoded_offset_ != applied_offset_) {
+    json records = json::array();
+    for (const auto& [key, record] : newest_records_) {
+      if (record.offset < request.from_offset)
+        continue;
+      json item = {{"key", key}, {"offset", record.offset}};
+      if (record.value)
+        item["value"] = *record.value;
+      records.push_back(std::move(item));
+    }
+    encoded_records_ =
+        records.dump(-1, ' ', false, json::error_handler_t::replace);
+    encoded_from_ = request.from_offset;
+    encoded_offset_ = applied_offset_;
   }
   fbs::config_stateT state;
   state.offset = applied_offset_;
-  state.state = records.dump(-1, ' ', false, json::error_handler_t::replace);
+  state.state = encoded_records_;
   transport_->Send(address, MakeEnvelope(std::move(state)));
 }
 
-void store_config_follower::HandleState(const std::string& address,
+void store_config_follower::HandleState(const peer_info& from,
                                         const fbs::config_stateT& state) {
   const auto records = ParseJson(state.state);
   keyed_batch batch;
@@ -365,12 +415,17 @@
   }
   if (!valid) {
     malformed_records_.Increment();
-    LogWarning("state", "bad_state_of_peer", {{"peer", address}});
+    LogWarning("state", "bad_state_of_peer", {{"peer", from.address}});
     return;
   }
+  const uint64_t previous_offset = applied_offset_;
   Apply(batch, "peer");
+  if (from.zone != own_zone_ && applied_offset_ > previous_offset &&
+      new_records_callback_)
+    new_records_callback_();
   // The store may never answer a read that missed records.
-  if (read_missed_records_ && has_read_store_ && open_reads_ == 1) {
+  if (IsReader() && read_missed_records_ && has_read_store_ &&
+      open_reads_ == 1) {
     LogWarning("state", "read_missed_records",
                {{"applied", std::to_string(applied_offset_)},
                 {"read_ms", std::to_string(ToMilliseconds(loop_->Now() -
--- a/node/store_config_follower.h
+++ b/node/store_config_follower.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -17,15 +18,21 @@
 
 namespace skylarkhoist {
 
+// The place of one reader among all readers of the fleet.
+struct reader_turn {
+  size_t position = 0;
+  size_t count = 1;
+};
+
 // Keeps a hosted node's configuration up to date from the operator records in
-// the store: reads the newest record of each key, then waits for more. Gets the
-// records from peers while the store does not answer this node.
+// the store. A few nodes of each zone, its readers, wait at the store for new
+// records and notify the other nodes, which request the records from a peer
+// that is ahead, if possible one of their own zone.
 //
 // A store that is silent for a while leaves reads unanswered for good, also
-// after its return. A few nodes, the primary readers, therefore wait only
-// briefly at the store, one after the other, read again as soon as an answer is
-// late, and notify the other nodes of new records (docs/platform.md, calls to
-// the store).
+// after its return. Readers therefore wait only briefly, one after the other,
+// and read again as soon as an answer is late (docs/platform.md, calls to the
+// store).
 //
 // Invariant: the configuration version and the applied offset never decrease
 // while the process runs.
@@ -34,6 +41,7 @@
   store_config_follower(loop* loop,
                         keyed_store* store,
                         peer_transport* transport,
+                        std::string own_zone,
                         const operator_record_reader* reader,
                         metrics* counters);
   ~store_config_follower();
@@ -58,32 +66,47 @@
   // answer.
   duration StoreAge(time_point now) const;
 
-  // Number of primary readers in a fleet. It bounds the reads at rest.
-  static constexpr size_t kPrimaryReaders = 6;
+  // True while the store does not answer this node, as far as it has tried.
+  bool store_lost() const;
 
-  // Sets the rank of this node among the nodes with links to each other. The
-  // first kPrimaryReaders are primary readers.
-  void SetReaderRank(size_t rank);
+  // Sets the place of this node among the readers; nothing if it is none.
+  void SetReader(const std::optional<reader_turn>& turn);
 
-  // Sets a callback for new records that a primary reader has read.
+  // Sets a callback for new records that other nodes may lack: read from the
+  // store by a reader, or received from another zone.
   void OnNewRecords(std::function<void()> callback) {
     new_records_callback_ = std::move(callback);
   }
 
+  // Sets a callback for the store being lost, or answering again.
+  void OnStoreChange(std::function<void(bool lost)> callback) {
+    store_change_callback_ = std::move(callback);
+  }
+
   // To be called with each offset before which a peer has applied all records.
   // If the peer stays ahead, its records are requested.
-  void OnPeerOffset(const std::string& address, uint64_t offset);
+  void OnPeerOffset(const peer_info& from, uint64_t offset);
   void HandleRequest(const std::string& address,
                      const fbs::config_requestT& request);
-  void HandleState(const std::string& address, const fbs::config_stateT& state);
+  void HandleState(const peer_info& from, const fbs::config_stateT& state);
 
  private:
-  bool IsPrimaryReader() const { return reader_rank_ < kPrimaryReaders; }
+  // A peer that has records which this node lacks.
+  struct peer_offer {
+    std::string address;
+    bool own_zone = false;
+    uint64_t offset = 0;
+  };
+
+  bool IsReader() const { return turn_.has_value(); }
+  // Starts a read if this node is to read and none is in progress.
+  void Read();
+  void ReadAfter(duration poll_wait);
   // Returns how long the next read waits at the store for new records.
   duration NextPollWait() const;
   // Starts a read, whose result supersedes those of the reads before it.
   // Returns its number.
-  uint64_t BeginRead();
+  uint64_t BeginRead(duration poll_wait);
   void ReadNewest();
   void ReadNext(duration poll_wait);
   void ScheduleNextRead();
@@ -94,6 +117,10 @@
   void AddDeletedKeys(keyed_batch* batch) const;
   void ScheduleRetry(store_error error);
   void SetStoreLost(const char* error);
+  void SetStoreAnswered();
+  // How long this node waits for other ways to get records that a peer has.
+  duration RequestDelay(bool own_zone) const;
+  void RequestRecords();
   // Milliseconds since the store last answered; -1 before its first answer.
   int64_t StoreAgeMs() const;
   void Apply(const keyed_batch& batch, const char* source);
@@ -104,6 +131,7 @@
   loop* loop_;
   keyed_store* store_;
   peer_transport* transport_;
+  std::string own_zone_;
   const operator_record_reader* reader_;
   std::function<void()> change_callback_;
   // Newest record of each key.
@@ -117,9 +145,11 @@
   bool store_available_ = true;
   bool has_read_store_ = false;
   time_point last_store_answer_;
+  time_point store_lost_at_;
   time_point read_started_at_;
-  size_t reader_rank_ = 0;
+  std::optional<reader_turn> turn_;
   std::function<void()> new_records_callback_;
+  std::function<void(bool lost)> store_change_callback_;
   // Reads without new records since the last one that had some.
   int empty_reads_ = 0;
   // Number of the read whose end starts the next one, and the reads that have
@@ -132,11 +162,15 @@
   timer_id late_timer_ = 0;
   // `current_read_` did not return records that a peer has had for a while.
   bool read_missed_records_ = false;
-  timer_id peer_request_timer_ = 0;
-  // The peer that reported the highest offset above `applied_offset_`, and this
-  // offset; 0 when there is none.
-  std::string most_advanced_peer_;
-  uint64_t most_advanced_offset_ = 0;
+  timer_id request_timer_ = 0;
+  time_point request_at_;
+  // The best offer of records above `applied_offset_`.
+  std::optional<peer_offer> offer_;
+  // The last state that was sent to a peer, for others that lack the same
+  // records.
+  uint64_t encoded_from_ = 0;
+  uint64_t encoded_offset_ = 0;
+  std::string encoded_records_;
   // Callbacks of the store hold a weak reference to this, since they may
   // outlive this object.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/node/token_service.cc
+++ b/node/token_service.cc
@@ -22,6 +22,15 @@
 // Time between two token requests to an owner that does not grant tokens.
 constexpr duration kUnavailableRetryInterval = std::chrono::milliseconds(250);
 
+// Number of nodes that may own buckets, in a small fleet and as a share of a
+// large one.
+constexpr size_t kMinOwnerCandidates = 12;
+constexpr size_t kNodesPerOwnerCandidate = 16;
+
+// Differs from the seeds of other choices among the nodes, so that not all of
+// them fall on the same nodes.
+constexpr uint64_t kOwnerSeed = 1;
+
 uint64_t RendezvousWeight(const std::string& customer,
                           const std::string& node) {
   const uint64_t seed = XXH64(customer.data(), customer.size(), 0);
@@ -49,7 +58,8 @@
           counters->Counter("skylarkhoist_tokens_total",
                             "Requests for rate tokens by result",
                             {{"result", "granted_without_mint"}})) {
-  node_names_ = {{own_address_, own_name_}};
+  members_.names = {{own_address_, own_name_}};
+  ChooseOwnerCandidates();
 }
 
 token_service::~token_service() {
@@ -72,12 +82,11 @@
   AssignOwners();
 }
 
-void token_service::SetMembers(const std::map<std::string, std::string>& names,
-                               bool has_majority) {
-  node_names_ = names;
-  has_majority_ = has_majority;
+void token_service::SetMembers(const token_members& members) {
+  members_ = members;
+  ChooseOwnerCandidates();
   for (auto each = owner_sessions_.begin(); each != owner_sessions_.end();) {
-    if (node_names_.count(each->first) > 0) {
+    if (members_.names.count(each->first) > 0) {
       ++each;
       continue;
     }
@@ -87,10 +96,26 @@
   AssignOwners();
 }
 
+// Chooses the nodes whose names have the lowest hashes. A node that comes or
+// goes changes at most one of them.
+void token_service::ChooseOwnerCandidates() {
+  owner_candidates_ = members_.names;
+  const size_t count = std::max(
+      kMinOwnerCandidates, members_.names.size() / kNodesPerOwnerCandidate);
+  if (!members_.all_limit_owners || members_.names.size() <= count)
+    return;
+  std::vector<std::pair<uint64_t, std::string>> ranked;
+  for (const auto& [address, name] : members_.names)
+    ranked.emplace_back(XXH64(name.data(), name.size(), kOwnerSeed), address);
+  std::sort(ranked.begin(), ranked.end());
+  for (size_t i = count; i < ranked.size(); ++i)
+    owner_candidates_.erase(ranked[i].second);
+}
+
 std::string token_service::OwnerOf(const std::string& customer) const {
   const std::string* best = nullptr;
   uint64_t best_weight = 0;
-  for (const auto& [address, name] : node_names_) {
+  for (const auto& [address, name] : owner_candidates_) {
     const uint64_t weight = RendezvousWeight(customer, name);
     if (best == nullptr || weight > best_weight) {
       best = &address;
@@ -106,7 +131,7 @@
     if (rate != config_->rates.end()) {
       each.tokens.SetRate(
           rate->second.per_second,
-          rate->second.per_second / static_cast<double>(node_names_.size()));
+          rate->second.per_second / static_cast<double>(members_.names.size()));
     }
     std::string owner = OwnerOf(customer);
     if (owner == each.owner)
@@ -131,14 +156,14 @@
     found->second.owner = OwnerOf(customer);
     found->second.tokens.SetRate(
         rate->second.per_second,
-        rate->second.per_second / static_cast<double>(node_names_.size()));
+        rate->second.per_second / static_cast<double>(members_.names.size()));
   }
   return &found->second;
 }
 
 bool token_service::IsOwnerReachable(const account& checked) const {
   if (checked.owner == own_address_)
-    return has_majority_;
+    return members_.has_majority;
   const auto found = owner_sessions_.find(checked.owner);
   return !checked.owner.empty() &&
          (found == owner_sessions_.end() || !found->second.unavailable);
@@ -248,10 +273,11 @@
   if (session.unavailable == unavailable)
     return;
   session.unavailable = unavailable;
-  const auto name = node_names_.find(owner);
-  LogStateChange("tokens", unavailable ? "mint_lost" : "mint_regained",
-                 {{"owner", name == node_names_.end() ? owner : name->second},
-                  {"cause", cause}});
+  const auto name = members_.names.find(owner);
+  LogStateChange(
+      "tokens", unavailable ? "mint_lost" : "mint_regained",
+      {{"owner", name == members_.names.end() ? owner : name->second},
+       {"cause", cause}});
 }
 
 void token_service::OnRequestTimeout(const std::string& owner) {
@@ -294,7 +320,7 @@
   for (const auto& want : request.wants) {
     if (want == nullptr || config_->rates.count(want->customer) == 0)
       continue;
-    if (!has_majority_ || OwnerOf(want->customer) != own_address_) {
+    if (!members_.has_majority || OwnerOf(want->customer) != own_address_) {
       grant.not_owner = true;
       continue;
     }
--- a/node/token_service.h
+++ b/node/token_service.h
@@ -18,13 +18,23 @@
 
 namespace skylarkhoist {
 
+// The nodes among which the owners of token buckets are chosen.
+struct token_members {
+  // Names of this node and of the live nodes in its reach, by peer address.
+  std::map<std::string, std::string> names;
+  // They are a majority of the nodes that are not known to have ended.
+  bool has_majority = false;
+  // All of them choose owners among a few nodes only, as this version does.
+  bool all_limit_owners = true;
+};
+
 // Limits each customer to its rate over all nodes together. One node, the
 // owner, holds the token bucket of a customer; the others request tokens from
-// it. Every node chooses the owner by rendezvous hashing over the nodes that it
-// has links with.
+// it. Every node chooses the owner by rendezvous hashing over a few of the live
+// nodes, so that it needs links with few of them.
 //
-// Invariant: a node grants tokens from its buckets only while it has links with
-// a majority of the nodes that are not known to have ended. So two nodes grant
+// Invariant: a node grants tokens from its buckets only while a majority of the
+// nodes that are not known to have ended are in its reach. So two nodes grant
 // tokens of the same customer at most until they detect a network partition.
 // Nodes that a partition separates from the owner continue at their last rate.
 class token_service {
@@ -40,9 +50,7 @@
 
   void SetConfig(std::shared_ptr<const config_view> config);
 
-  // Sets the names, by peer address, of this node and of the nodes with a link.
-  void SetMembers(const std::map<std::string, std::string>& names,
-                  bool has_majority);
+  void SetMembers(const token_members& members);
 
   // Takes a token for one request of `customer`. Reports reason::kOk, or
   // kRateLimited when there is none. May call `done` before it returns.
@@ -77,6 +85,7 @@
     timer_id timer = 0;
   };
 
+  void ChooseOwnerCandidates();
   std::string OwnerOf(const std::string& customer) const;
   void AssignOwners();
   bool OwnsBucket(const std::string& customer, const account& checked) const;
@@ -100,8 +109,9 @@
   std::string own_name_;
   std::shared_ptr<const config_view> config_ =
       std::make_shared<const config_view>();
-  std::map<std::string, std::string> node_names_;
-  bool has_majority_ = false;
+  token_members members_;
+  // Names of the nodes that may own a bucket, by peer address.
+  std::map<std::string, std::string> owner_candidates_;
   // By customer; the buckets are those that this node owns.
   std::map<std::string, account> accounts_;
   std::map<std::string, token_bucket> buckets_;
--- a/testing/hosted_fleet.cc
+++ b/testing/hosted_fleet.cc
@@ -9,6 +9,17 @@
 constexpr std::string_view kZoneKeyPrefix = "zone/";
 constexpr duration kAnnouncementInterval = std::chrono::seconds(1);
 
+// As on the platform.
+memory_network_options NetworkOptions() {
+  memory_network_options options;
+  options.heartbeat_interval = std::chrono::milliseconds(500);
+  options.silence_timeout = std::chrono::milliseconds(1500);
+  options.activity = {std::chrono::milliseconds(2500),
+                      std::chrono::seconds(30)};
+  options.watch_own_zone = true;
+  return options;
+}
+
 route_config Route(const std::string& name, const std::string& service) {
   route_config route;
   route.name = name;
@@ -65,7 +76,7 @@
                            const request_dialect* dialect)
     : dialect_(dialect),
       random_(seed),
-      network_(&loop_, &random_),
+      network_(&loop_, &random_, NetworkOptions()),
       targets_(loop_, seed) {
   machines_.resize(machines);
   for (size_t i = 0; i < machines; ++i) {
