Cut no request at the end of a planned stop, and promise only what holds

Cause: a stopping node took new requests for 4 s after the signal, whatever time they had. One that was taken late and took its time was still running at the end of the grace period (6 s on most deployments), when the process ended without an answer. Its responses were meant to close the callers' connections, but the field was dropped with the other hop-by-hop fields, so callers kept using them. Separately, a failure whose reason comes from a peer of a later version was answered with 503, which callers take for a promise that the request has not run.

Change: from the end of the drain grace on (2.5 s), a request is refused as not run if it may last longer than the process does. At the forced end, open requests are answered: refused if they were not sent, as unknown otherwise. The server closes connections after their next response from the signal on, and its listener before the process ends. Errors of requests that may have run get 502 instead of a status that promises "not run", and no Retry-After.

Tests, failing before: hosted_node AStopTakesNoRequestThatItMayHaveToCut, http_server ClosesConnectionsAfterResponsesBeforeAStop, call_types OnlyARequestThatHasNotRunIsRefused.

--- a/node/call_types.cc
+++ b/node/call_types.cc
@@ -9,6 +9,11 @@
 #include "kernel/time.h"
 
 namespace skylarkhoist {
+namespace {
+
+constexpr int kBadGatewayStatus = 502;
+
+}  // namespace
 
 std::unique_ptr<fbs::request_id> ToWire(const request_id& id) {
   return std::make_unique<fbs::request_id>(id.incarnation, id.sequence);
@@ -98,6 +103,10 @@
   return "gone";
 }
 
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 http_response MakeErrorResponse(const request_id& id,
                                 reason why,
                                 fbs::ran_state ran,
@@ -106,12 +115,17 @@
   const std::string label(info.label);
   const std::string ran_text(ToText(ran));
   http_response response;
-  response.status = info.status;
+  // A peer of a later version may name a reason that this version takes for a
+  // refusal.
+  const bool may_have_run = ran != fbs::ran_state::kNo;
+  response.status = may_have_run && PromisesNotRun(info.status)
+                        ? kBadGatewayStatus
+                        : info.status;
   response.headers.Add("Content-Type", "application/json");
   response.headers.Add("Skylark-Ran", ran_text);
   response.headers.Add("Skylark-Reason", label);
   response.headers.Add("Skylark-Request-Id", ToText(id));
-  if (info.retry_after) {
+  if (info.retry_after && !may_have_run) {
     const int64_t seconds =
         std::max<int64_t>(1, (ToMilliseconds(retry_after) + 999) / 1000);
     response.headers.Add("Retry-After", std::to_string(seconds));
--- a/node/call_types.h
+++ b/node/call_types.h
@@ -45,6 +45,10 @@
 std::string_view ToText(fbs::ran_state ran);
 std::string_view ToText(fbs::member_state state);
 
+// Returns whether callers take the status for a promise that their request has
+// not run and never will.
+bool PromisesNotRun(int status);
+
 // Builds the response that tells a caller why its request was refused or
 // failed.
 http_response MakeErrorResponse(const request_id& id,
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -135,6 +135,10 @@
     FinishError(call, *refused, fbs::ran_state::kNo);
     return call_id;
   }
+  if (!call->admitted && call->deadline + options_.deadline_grace > stop_at_) {
+    FinishError(call, reason::kDraining, fbs::ran_state::kNo);
+    return call_id;
+  }
   AcquireRateToken(call_id);
   return call_id;
 }
@@ -1043,6 +1047,21 @@
   return levels;
 }
 
+void entry::FinishOpenRequests() {
+  std::vector<entry_call_id> open;
+  for (const auto& [call_id, call] : calls_)
+    open.push_back(call_id);
+  for (const entry_call_id call_id : open) {
+    open_call* call = FindCall(call_id);
+    if (call == nullptr)
+      continue;
+    if (call->current_attempt)
+      FinishError(call, reason::kLinkLost, fbs::ran_state::kUnknown);
+    else
+      FinishError(call, reason::kDraining, fbs::ran_state::kNo);
+  }
+}
+
 void entry::Drain(std::function<void()> on_drained) {
   if (calls_.empty()) {
     on_drained();
--- a/node/entry.h
+++ b/node/entry.h
@@ -187,6 +187,13 @@
   // served, since they belong to requests in progress.
   void StopAccepting() { accepting_ = false; }
 
+  // Refuses from now on new requests from callers that may take longer than
+  // until `stop_at`, when the process ends.
+  void RefuseLongerThan(time_point stop_at) { stop_at_ = stop_at; }
+
+  // Ends all open calls, because the process stops.
+  void FinishOpenRequests();
+
   // Calls `on_drained` once no call is open.
   void Drain(std::function<void()> on_drained);
 
@@ -369,6 +376,7 @@
   std::function<const fbs::call_requestT*(const std::string& caller_id)>
       find_run_;
   bool accepting_ = true;
+  time_point stop_at_ = time_point::max();
   std::function<void()> on_drained_;
   reason_counters ended_requests_;
   reason_counters retries_by_reason_;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -279,11 +279,12 @@
   return heartbeat;
 }
 
-void hosted_node::Drain(std::function<void()> drained) {
+void hosted_node::Drain(std::function<void()> drained, duration stop_time) {
   if (draining_)
     return;
   draining_ = true;
   drained_ = std::move(drained);
+  stop_at_ = parts_.run_loop->Now() + stop_time;
   LogStateChange("node", "draining",
                  {{"node", options_.name},
                   {"open_requests", std::to_string(entry_.open_calls())}});
@@ -309,6 +310,7 @@
   drain_timer_ = parts_.run_loop->RunAfter(options_.drain_grace - elapsed,
                                            [this, deadline] {
                                              drain_timer_ = 0;
+                                             entry_.RefuseLongerThan(stop_at_);
                                              WaitUntilIdle(deadline);
                                            });
 }
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -100,8 +100,13 @@
   bool IsReady() const { return config_.ready() && !draining_; }
 
   // Starts a planned stop: the node is no longer ready, finishes the requests
-  // in progress, then calls `drained`.
-  void Drain(std::function<void()> drained);
+  // in progress, then calls `drained`. The process ends after `stop_time` at
+  // the latest.
+  void Drain(std::function<void()> drained, duration stop_time);
+
+  // Ends the open requests, because the process stops before they are finished.
+  // Those that may have run are not reported as refused.
+  void FinishOpenRequests() { entry_.FinishOpenRequests(); }
 
   const store_config_follower& config() const { return config_; }
 
@@ -141,6 +146,8 @@
   call_estimator estimated_calls_;
   bool draining_ = false;
   std::function<void()> drained_;
+  // When the process ends at the latest.
+  time_point stop_at_;
   timer_id drain_timer_ = 0;
   uint64_t heartbeat_counter_ = 0;
 };
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -360,7 +360,7 @@
     answers.push_back(fleet.Send(i, "/once/x", "k1"));
   fleet.Advance(milliseconds(50));
   bool drained = false;
-  fleet.node(0).Drain([&] { drained = true; });
+  fleet.node(0).Drain([&] { drained = true; }, seconds(10));
   CHECK_FALSE(fleet.node(0).IsReady());
   // Requests of callers that have not noticed the drain yet are still served.
   CHECK_EQUAL(200, fleet.SendAndWait(0, "/safe/x", "k1"));
@@ -378,7 +378,7 @@
 TEST(hosted_node, AStopAnswersOrRefusesEachRequest) {
   Start();
   bool drained = false;
-  fleet.node(0).Drain([&] { drained = true; });
+  fleet.node(0).Drain([&] { drained = true; }, seconds(10));
   std::vector<std::shared_ptr<hosted_fleet::pending_response>> answers;
   for (const size_t machine : {0U, 2U, 4U})
     fleet.targets().SlowDown(fleet.target_address(machine), 20, seconds(20));
@@ -394,6 +394,38 @@
   CHECK_TRUE(answers.size() > 5);
 }
 
+// Guards against requests that are taken late in the grace period of a planned
+// stop, passed on, and cut at its end: callers keep sending, and each request
+// takes as long as it may.
+TEST(hosted_node, AStopTakesNoRequestThatItMayHaveToCut) {
+  Start();
+  const duration stop_time = milliseconds(5500);
+  for (const size_t machine : {0U, 2U, 4U})
+    fleet.targets().SlowDown(fleet.target_address(machine), 1000, seconds(20));
+  bool drained = false;
+  const time_point start = fleet.clock().Now();
+  fleet.node(0).Drain([&] { drained = true; }, stop_time);
+  std::vector<
+      std::pair<time_point, std::shared_ptr<hosted_fleet::pending_response>>>
+      answers;
+  while (!drained && fleet.clock().Now() - start < stop_time) {
+    answers.emplace_back(fleet.clock().Now(), fleet.Send(0, "/once/x", "k1"));
+    fleet.Advance(milliseconds(100));
+  }
+  // Routes time out after 2 s.
+  for (const auto& [sent_at, answer] : answers) {
+    if (sent_at - start >= seconds(3) && !answer->response)
+      FAIL("a request that was taken late is not answered");
+  }
+  // What is still open gets a response that promises nothing.
+  fleet.node(0).FinishOpenRequests();
+  for (const auto& [sent_at, answer] : answers) {
+    CHECK_TRUE(answer->response.has_value());
+    const int status = answer->response->status;
+    CHECK_TRUE(status == 503 || status == 504 || status == 502);
+  }
+}
+
 // Load pattern: the fleet starts while the last service of a chain is full, so
 // few requests get beyond their first call. Guards against admission that
 // learns which routes lead to this service only once it has capacity, and
@@ -430,7 +462,7 @@
 TEST(hosted_node, ADrainingNodeStillUsesItsTarget) {
   Start();
   bool drained = false;
-  fleet.node(0).Drain([&] { drained = true; });
+  fleet.node(0).Drain([&] { drained = true; }, seconds(10));
   const int64_t before = fleet.target_counters(0).runs;
   CHECK_EQUAL(50, SendLoad({1}, 50, seconds(1)));
   CHECK_TRUE(fleet.target_counters(0).runs - before >= 20);
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -412,7 +412,7 @@
   open_exchanges_.at(connection)->StopWatching();
   evkeyvalq* fields = evhttp_request_get_output_headers(request);
   WriteEndToEndFields(response.headers, fields);
-  if (listening_socket_ == nullptr)
+  if (close_after_responses_ || listening_socket_ == nullptr)
     evhttp_add_header(fields, "Connection", "close");
   evbuffer* body = evbuffer_new();
   if (evhttp_request_get_command(request) == EVHTTP_REQ_HEAD) {
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -99,6 +99,11 @@
   // "ip:port" with the port that was bound.
   const std::string& listen_address() const { return bound_address_; }
 
+  // Closes each connection after its next response from now on, so that callers
+  // with open connections look for another server. New connections are still
+  // accepted.
+  void CloseAfterResponses() { close_after_responses_ = true; }
+
   // Closes the listener. Open connections finish their request and are closed
   // after the response.
   void StopAccepting();
@@ -135,6 +140,7 @@
   // True while this class writes a response. Anything written at other times
   // is an error page of evhttp.
   bool writing_response_ = false;
+  bool close_after_responses_ = false;
   std::unordered_map<evhttp_connection*, std::unique_ptr<open_exchange>>
       open_exchanges_;
   uint64_t last_exchange_id_ = 0;
--- a/wire/http_server_test.cc
+++ b/wire/http_server_test.cc
@@ -262,6 +262,23 @@
   CHECK_TRUE(ReadUntil(socket, "500").find("HTTP/1.1 500") == 0);
 }
 
+// Guards against callers that keep using their open connections while a server
+// is about to stop, until it is gone.
+TEST(http_server, ClosesConnectionsAfterResponsesBeforeAStop) {
+  raw_socket open = raw_socket::ConnectTo(server->listen_address());
+  open.Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::string got = ReadUntil(open, "GET ");
+  CHECK_TRUE(got.find("Connection: close") == std::string::npos);
+  server->CloseAfterResponses();
+  raw_socket added = raw_socket::ConnectTo(server->listen_address());
+  for (raw_socket* socket : {&open, &added}) {
+    socket->Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    got = ReadUntil(*socket, "no such text");
+    CHECK_TRUE(got.find("HTTP/1.1 200") == 0);
+    CHECK_TRUE(got.find("Connection: close") != std::string::npos);
+  }
+}
+
 // Guards against a planned shutdown that interrupts open exchanges.
 TEST(http_server, StopAcceptingFinishesOpenExchanges) {
   hold_exchanges = true;
--- a/wire/http_target_client_test.cc
+++ b/wire/http_target_client_test.cc
@@ -166,6 +166,39 @@
   LONGS_EQUAL(std::size(cases), result_count);
 }
 
+// Guards against a response that is cut short in its head and passed on as a
+// complete one with an empty or short body: a target stops after any byte of
+// the head and closes, on a new or a reused connection.
+TEST(http_target_client, AHeadThatEndsEarlyIsNoResponse) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-One: 1\r\nContent-Length: 12\r\n\r\n";
+  const std::string headless_length = "HTTP/1.1 200 OK\r\nX-One: 1\r\n\r\n";
+  for (const std::string& whole : {head, headless_length}) {
+    for (const bool reused : {false, true}) {
+      for (size_t size = 0; size < whole.size(); ++size) {
+        http_target_client_settings settings;
+        settings.echo_field = "X-One";
+        client =
+            std::make_unique<http_target_client>(&loop, settings, &counters);
+        Call(Request("POST", "body"));
+        CHECK_TRUE(AcceptOne());
+        ReadUntil("body");
+        if (reused) {
+          accepted.Write(
+              "HTTP/1.1 200 OK\r\nX-One: 1\r\nContent-Length: 0\r\n\r\n");
+          CheckError(target_error::kNone, true, "first");
+          Call(Request("POST", "body"));
+          ReadUntil("body");
+        }
+        accepted.Write(whole.substr(0, size));
+        accepted.Close();
+        CheckError(target_error::kConnectionLost, true,
+                   whole.substr(0, size).c_str());
+      }
+    }
+  }
+}
+
 // Guards against losing a response without a length, which ends when the target
 // closes the connection, and against accepting one that a reset cut short.
 TEST(http_target_client, ResponseWithoutLengthEndsWithItsConnection) {
