Count the time for which the machine was suspended

Cause: the loop's clock was std::chrono::steady_clock, which stands still while a machine is suspended. Leases, deadlines, the age of announcements and rate tokens outlived that time.

Change: event_loop reads the clock that includes suspensions (process_clock). Timers of the operating system do not include them, so the first timer that runs afterwards sets the others again.

Test, failing before: loop ASuspensionOfTheMachineCountsAsTime, with a clock whose machine a test suspends.

--- a/kernel/event_loop.cc
+++ b/kernel/event_loop.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+// The two clocks are not read at the same time, so their difference varies.
+constexpr duration kMinSuspension = std::chrono::milliseconds(20);
+
 // With a change list, libevent combines the changes to a file descriptor in one
 // loop iteration into one epoll_ctl call, which saves most of these calls for
 // HTTP. It does not support duplicated file descriptors; this project has none.
@@ -26,6 +29,7 @@
 struct event_loop::timer {
   event_loop* owner;
   timer_id id;
+  time_point due;
   event* handle;
   std::function<void()> callback;
 
@@ -39,7 +43,8 @@
   ~signal_handler() { event_free(handle); }
 };
 
-event_loop::event_loop() : base_(NewEventBase()) {
+event_loop::event_loop(const process_clock& clock)
+    : clock_(clock), suspended_time_(SuspendedTime()), base_(NewEventBase()) {
   // libevent writes to sockets without MSG_NOSIGNAL; a write to a connection
   // that the peer has closed would otherwise terminate the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -52,7 +57,26 @@
 }
 
 time_point event_loop::Now() const {
-  return std::chrono::steady_clock::now();
+  return clock_.Now();
+}
+
+void event_loop::SetTimer(const timer& armed, duration delay) {
+  const auto micros = std::max<int64_t>(
+      0, std::chrono::duration_cast<std::chrono::microseconds>(delay).count());
+  timeval wait{};
+  wait.tv_sec = micros / 1'000'000;
+  wait.tv_usec = micros % 1'000'000;
+  evtimer_add(armed.handle, &wait);
+}
+
+void event_loop::CheckForSuspension() {
+  const duration suspended_time = SuspendedTime();
+  if (suspended_time - suspended_time_ < kMinSuspension)
+    return;
+  suspended_time_ = suspended_time;
+  const time_point now = Now();
+  for (const auto& [id, each] : timers_)
+    SetTimer(*each, each->due - now);
 }
 
 timer_id event_loop::RunAfter(duration delay, std::function<void()> callback) {
@@ -60,6 +84,7 @@
   auto entry = std::make_unique<timer>();
   entry->owner = this;
   entry->id = id;
+  entry->due = Now() + delay;
   entry->callback = std::move(callback);
   entry->handle = evtimer_new(
       base_,
@@ -71,15 +96,11 @@
         // cancel or add timers.
         const std::unique_ptr<timer> running = std::move(found->second);
         timers.erase(found);
+        running->owner->CheckForSuspension();
         running->callback();
       },
       entry.get());
-  const auto micros = std::max<int64_t>(
-      0, std::chrono::duration_cast<std::chrono::microseconds>(delay).count());
-  timeval wait{};
-  wait.tv_sec = micros / 1'000'000;
-  wait.tv_usec = micros % 1'000'000;
-  evtimer_add(entry->handle, &wait);
+  SetTimer(*entry, delay);
   timers_.emplace(id, std::move(entry));
   return id;
 }
--- a/kernel/event_loop.h
+++ b/kernel/event_loop.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "kernel/loop.h"
+#include "kernel/process_clock.h"
 
 struct event_base;
 struct event;
@@ -13,9 +14,13 @@
 
 // The loop of a running process, based on libevent. Makes the process ignore
 // SIGPIPE. All servers and clients of the process share its `base()`.
+//
+// Its time includes the time for which the machine was suspended, so that
+// leases and deadlines do not outlive it. The timers of libevent do not, so the
+// next timer that runs after a suspension sets the others again.
 class event_loop : public loop {
  public:
-  event_loop();
+  explicit event_loop(const process_clock& clock = SystemClock());
   ~event_loop() override;
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
@@ -38,6 +43,14 @@
   struct timer;
   struct signal_handler;
 
+  static void SetTimer(const timer& armed, duration delay);
+  duration SuspendedTime() const {
+    return clock_.Now() - clock_.NowWithoutSuspension();
+  }
+  void CheckForSuspension();
+
+  const process_clock& clock_;
+  duration suspended_time_;
   event_base* base_;
   timer_id next_id_ = 1;
   std::unordered_map<timer_id, std::unique_ptr<timer>> timers_;
--- a/kernel/loop_test.cc
+++ b/kernel/loop_test.cc
@@ -41,5 +41,37 @@
   CHECK_EQUAL(1, ran);
 }
 
+// A clock whose machine can be suspended.
+class suspendable_clock : public process_clock {
+ public:
+  void Suspend(duration time) { suspended_ += time; }
+  time_point Now() const override {
+    return SystemClock().NowWithoutSuspension() + suspended_;
+  }
+  time_point NowWithoutSuspension() const override {
+    return SystemClock().NowWithoutSuspension();
+  }
+
+ private:
+  duration suspended_ = duration::zero();
+};
+
+// Guards against leases and deadlines that outlive the time for which the
+// machine was suspended: timers of the operating system do not count it.
+TEST(loop, ASuspensionOfTheMachineCountsAsTime) {
+  suspendable_clock clock;
+  event_loop real(clock);
+  const time_point start = real.Now();
+  std::vector<int> ran;
+  real.RunAfter(std::chrono::hours(1), [&] { ran.push_back(1); });
+  real.RunAfter(std::chrono::hours(3), [&] { ran.push_back(9); });
+  clock.Suspend(std::chrono::hours(2));
+  CHECK_TRUE(real.Now() - start >= std::chrono::hours(2));
+  real.RunAfter(milliseconds(1), [&] { ran.push_back(0); });
+  real.RunAfter(milliseconds(100), [&] { real.Stop(); });
+  real.Run();
+  CHECK_TRUE((ran == std::vector<int>{0, 1}));
+}
+
 }  // namespace
 }  // namespace skylarkhoist
