--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A late status report of a worker that has deregistered, after all nodes were killed.
-cd "$(dirname "$0")" && exec ../run_case.sh "$PWD" late_report
+# A customer sends many times its usual while the owner of its token bucket resumes.
+cd "$(dirname "$0")" && exec ../run_case.sh "$PWD" paused_owner
--- a/review/cases_test.cc
+++ b/review/cases_test.cc
@@ -138,21 +138,13 @@
         zone_(std::move(zone)),
         report_address_(std::move(report_address)),
         on_run_(std::move(on_run)),
-        client_(loop, {}, nullptr),
-        server_(
-            loop,
-            ServerSettings(),
-            [this](const http_request& request,
-                   const std::shared_ptr<http_exchange>& exchange) {
-              Handle(request, exchange);
-            },
-            &counters_) {
-    if (!server_.Listen())
-      std::exit(kNotRun);
+        client_(loop, {}, nullptr) {
+    Listen();
   }
 
-  const std::string& address() const { return server_.listen_address(); }
-  const std::string& id() const { return id_; }
+  const std::string& address() const { return address_; }
+  // Differs for each lifetime.
+  std::string id() const { return id_ + "-" + std::to_string(lifetime_); }
 
   void StartReports() {
     SendReport(++sequence_, {});
@@ -166,21 +158,45 @@
     json report = {
         {"service", kService},  {"address", address()}, {"zone", zone_},
         {"version", "v1"},      {"slots", 400},         {"state", "ready"},
-        {"coldRemainingMs", 0}, {"seq", sequence},      {"born", kBornMs}};
+        {"coldRemainingMs", 0}, {"seq", sequence},      {"born", born_ms()}};
     Post("instances.heartbeat", report, done);
   }
   void Deregister(const std::function<void(int)>& done) {
-    Post("instances.deregister", {{"born", kBornMs}}, done);
+    Post("instances.deregister", {{"born", born_ms()}}, done);
   }
 
  private:
-  static constexpr int64_t kBornMs = 1'790'000'000'000;
+  static constexpr int64_t kFirstBornMs = 1'790'000'000'000;
+  static constexpr duration kTimeToRestart = seconds(3);
 
-  static http_server_settings ServerSettings() {
+  void Listen() {
     http_server_settings settings;
-    settings.listen_address = "127.0.0.1:0";
+    settings.listen_address = address_;
     settings.name = "worker";
-    return settings;
+    server_ = std::make_unique<http_server>(
+        loop_, settings,
+        [this](const http_request& request,
+               const std::shared_ptr<http_exchange>& exchange) {
+          Handle(request, exchange);
+        },
+        &counters_);
+    if (!server_->Listen())
+      std::exit(kNotRun);
+    address_ = server_->listen_address();
+  }
+
+  // Closes all connections, and starts again as a new lifetime a while later.
+  void Crash() {
+    if (server_ == nullptr)
+      return;
+    server_.reset();
+    StopReports();
+    loop_->RunAfter(kTimeToRestart, [this] {
+      ++lifetime_;
+      sequence_ = 0;
+      Listen();
+      StartReports();
+    });
   }
 
   void Post(const std::string& call,
@@ -188,7 +204,7 @@
             const std::function<void(int)>& done) {
     http_request request;
     request.method = "POST";
-    request.path = "/rpc?call=" + call + "&of=" + id_;
+    request.path = "/rpc?call=" + call + "&of=" + id();
     request.headers.Add("Content-Type", "application/json");
     request.body = body.dump();
     client_.Call(report_address_, request, seconds(1),
@@ -205,13 +221,18 @@
     const std::string* request_id = request.headers.Find("X-Request-Id");
     const std::string* target = request.headers.Find("X-Target-Instance");
     http_response response;
-    if (request_id == nullptr || (target != nullptr && *target != id_)) {
+    if (request_id == nullptr || (target != nullptr && *target != id())) {
       response.status = request_id == nullptr ? 400 : 421;
       response.headers.Add("X-Not-Executed", "1");
       exchange->Respond(response);
       return;
     }
     on_run_(*request_id);
+    if (request.path.find("/crash") != std::string::npos) {
+      // The connection breaks, so the exchange gets no response.
+      loop_->RunAfter(duration::zero(), [this, exchange] { Crash(); });
+      return;
+    }
     response.status = 200;
     response.headers.Add("X-Request-Id", *request_id);
     response.headers.Add("X-Response-Signature", "signed-" + *request_id);
@@ -221,7 +242,11 @@
                     [exchange, response] { exchange->Respond(response); });
   }
 
+  int64_t born_ms() const { return kFirstBornMs + lifetime_ * 10'000; }
+
   event_loop* loop_;
+  std::string address_ = "127.0.0.1:0";
+  int64_t lifetime_ = 1;
   std::string id_;
   std::string zone_;
   std::string report_address_;
@@ -230,7 +255,7 @@
   timer_id timer_ = 0;
   metrics counters_;
   http_target_client client_;
-  http_server server_;
+  std::unique_ptr<http_server> server_;
 };
 
 // A client that reads the response to one request slowly.
@@ -845,6 +870,70 @@
   return broken ? kBroken : kHeld;
 }
 
+// BUDGET: a request that crashes each worker that runs it comes again and
+// again, at all nodes, beside requests that may not be repeated.
+int RunCrashingRequest(deployment* fleet) {
+  constexpr int kAttempts = 24;
+  if (!fleet->Start({{"/pages/", "safe", false}, {"/orders/", "unsafe", false}},
+                    {{"apiKeys", {"key1"}}}))
+    return kNotRun;
+  event_loop& loop = fleet->loop();
+  RunFor(loop, seconds(4));
+  bool sending = true;
+  size_t next_node = 0;
+  std::function<void()> send_order = [&] {
+    fleet->Send(next_node++ % deployment::kNodes, "POST", "/orders/ms=200",
+                "key1");
+    if (sending)
+      loop.RunAfter(milliseconds(50), send_order);
+  };
+  send_order();
+  std::vector<request_record*> crashing;
+  for (int i = 0; i < kAttempts; ++i) {
+    if (fleet->trouble())
+      crashing.push_back(
+          fleet->Send(static_cast<size_t>(i) % deployment::kNodes, "GET",
+                      "/pages/crash", "key1", seconds(2)));
+    RunFor(loop, milliseconds(1200));
+  }
+  sending = false;
+  RunFor(loop, seconds(4));
+  std::vector<time_point> crashes;
+  for (const request_record* request : crashing) {
+    fleet->record().Write(fleet->Describe(*request));
+    for (const auto& [index, started_at] : request->runs)
+      crashes.push_back(started_at);
+  }
+  std::sort(crashes.begin(), crashes.end());
+  const bool third = crashes.size() >= 3;
+  const time_point judged_from =
+      third ? crashes[2] + seconds(3) : time_point::max();
+  const auto late = std::count_if(
+      crashing.begin(), crashing.end(), [&](const request_record* request) {
+        return request->sent_at > judged_from && !request->runs.empty();
+      });
+  int lost_orders = 0;
+  int orders = 0;
+  for (const request_record& request : fleet->requests()) {
+    if (std::find(crashing.begin(), crashing.end(), &request) != crashing.end())
+      continue;
+    ++orders;
+    if (request.runs.empty() || request.signed_by_worker)
+      continue;
+    fleet->record().Write("lost: " + fleet->Describe(request));
+    lost_orders += request.sent_at > judged_from ? 1 : 0;
+  }
+  fleet->record().Write(
+      "the request crashed workers " + std::to_string(crashes.size()) +
+      " times; " + std::to_string(late) +
+      " retries that were sent later than 3 s after the third crash reached "
+      "workers");
+  fleet->record().Write(std::to_string(lost_orders) + " of " +
+                        std::to_string(orders) +
+                        " other requests were run and lost by these");
+  return late > 3 ? kBroken : kHeld;
+}
+
 }  // namespace
 }  // namespace skylarkhoist
 
@@ -853,7 +942,8 @@
       {"slow_reader", skylarkhoist::RunSlowReader},
       {"late_public", skylarkhoist::RunLatePublic},
       {"late_report", skylarkhoist::RunLateReport},
-      {"paused_owner", skylarkhoist::RunPausedOwner}};
+      {"paused_owner", skylarkhoist::RunPausedOwner},
+      {"crashing_request", skylarkhoist::RunCrashingRequest}};
   const auto chosen = argc == 6 ? cases.find(argv[1]) : cases.end();
   if (chosen == cases.end()) {
     std::fputs("usage: review_cases CASE PROGRAM DIRECTORY RECORD TROUBLE\n",
