--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
-# A customer sends many times its usual while the owner of its token bucket resumes.
-cd "$(dirname "$0")" && exec ../run_case.sh "$PWD" paused_owner
+# A late status report of a worker that has deregistered, after all nodes were killed.
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" && exec ../run_case.sh "$PWD" late_report "${TROUBLE:-1}"
