Take no request on an open route late in a planned stop

Cause: a stopping node refuses what may outlast it, except calls of the local target. It took every request without a key on an open route for such a call.

Change: only a call whose parent is running at the local target counts as one. Its deadline moves to the end of the stop, so that the called target answers before it; the same calls were cut before.

Why it works: what is taken after the drain grace has a deadline before the process ends.

--- a/node/entry.cc
+++ b/node/entry.cc
@@ -135,7 +135,7 @@
     FinishError(call, *refused, fbs::ran_state::kNo);
     return call_id;
   }
-  if (!call->admitted && call->deadline + options_.deadline_grace > stop_at_) {
+  if (!CanEndBeforeStop(call)) {
     FinishError(call, reason::kDraining, fbs::ran_state::kNo);
     return call_id;
   }
@@ -143,6 +143,22 @@
   return call_id;
 }
 
+// Returns whether the process will still be there at the deadline of the call.
+// A call of a run in progress gets an earlier deadline instead of a refusal,
+// which would fail the run.
+bool entry::CanEndBeforeStop(open_call* call) {
+  if (stop_at_ == time_point::max())
+    return true;
+  const time_point latest = stop_at_ - options_.deadline_grace;
+  if (call->deadline <= latest)
+    return true;
+  if (!call->has_local_parent || latest <= loop_->Now())
+    return false;
+  call->deadline = latest;
+  StartDeadlineTimer(call);
+  return true;
+}
+
 // Finds the route and, unless the route is open, the customer that owns the
 // key.
 std::optional<reason> entry::Authenticate(open_call* call) {
@@ -183,6 +199,7 @@
       find_run_ && !call->metadata.parent_id.empty()
           ? find_run_(call->metadata.parent_id)
           : nullptr;
+  call->has_local_parent = parent != nullptr;
   if (parent != nullptr)
     call->priority = PriorityFromWire(parent->priority_class);
   if (on_local_call_)
@@ -255,13 +272,17 @@
   call->fingerprint = Fingerprint(
       call->customer, route.name + call->request.path, call->request.body);
   options_.dialect->StripRequest(&headers);
-  const entry_call_id call_id = call->call_id;
-  call->deadline_timer =
-      loop_->RunAfter(call->deadline + options_.deadline_grace - loop_->Now(),
-                      [this, call_id] { OnDeadline(call_id); });
+  StartDeadlineTimer(call);
   return std::nullopt;
 }
 
+void entry::StartDeadlineTimer(open_call* call) {
+  loop_->Cancel(call->deadline_timer);
+  call->deadline_timer = loop_->RunAfter(
+      call->deadline + options_.deadline_grace - loop_->Now(),
+      [this, call_id = call->call_id] { OnDeadline(call_id); });
+}
+
 entry_call_id entry::HandleChildCall(http_request request,
                                      reply_callback reply) {
   open_call* call = nullptr;
--- a/node/entry.h
+++ b/node/entry.h
@@ -187,8 +187,9 @@
   // served, since they belong to requests in progress.
   void StopAccepting() { accepting_ = false; }
 
-  // Refuses from now on new requests from callers that may take longer than
-  // until `stop_at`, when the process ends.
+  // The process ends at `stop_at`. Refuses from now on new requests that may
+  // take longer, except calls that a run at the local target makes: their
+  // deadlines are moved forward, since a refusal would fail that run.
   void RefuseLongerThan(time_point stop_at) { stop_at_ = stop_at; }
 
   // Ends all open calls, because the process stops.
@@ -235,6 +236,9 @@
     // Set for calls that belong to a request that was admitted already, such as
     // child calls.
     bool admitted = false;
+    // Set for calls that a run in progress at the local target makes. Other
+    // calls of a target cannot be told from requests on open routes.
+    bool has_local_parent = false;
     bool has_rate_token = false;
     bool repeatable = true;
     // Set while this request holds the claim on its idempotency key, which is
@@ -290,6 +294,8 @@
                            reply_callback reply,
                            open_call** call);
   open_call* FindCall(entry_call_id call_id);
+  bool CanEndBeforeStop(open_call* call);
+  void StartDeadlineTimer(open_call* call);
   std::optional<reason> Authenticate(open_call* call);
   std::optional<reason> CheckIssuedKey(open_call* call);
   std::optional<reason> SetCustomer(open_call* call, const std::string& name);
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -426,6 +426,54 @@
   }
 }
 
+// Guards against requests without a key on open routes that are taken for calls
+// of the local target, passed on late in a planned stop, and cut at its end.
+TEST(hosted_node, AStopTakesNoOpenRequestThatItMayHaveToCut) {
+  Start();
+  const duration stop_time = milliseconds(5500);
+  for (const size_t machine : {1U, 3U, 5U})
+    fleet.targets().SlowDown(fleet.target_address(machine), 1000, seconds(20));
+  fleet.node(0).Drain([] {}, stop_time);
+  std::vector<std::shared_ptr<hosted_fleet::pending_response>> late;
+  for (duration at = duration::zero(); at < stop_time;
+       at += milliseconds(100)) {
+    const auto answer = fleet.Send(0, "/inner/x", "");
+    if (at >= seconds(3))
+      late.push_back(answer);
+    fleet.Advance(milliseconds(100));
+  }
+  // Routes time out after 2 s.
+  for (const auto& answer : late)
+    CHECK_TRUE(answer->response.has_value());
+}
+
+// Guards against a stop that cuts a call of a run in progress, or fails the run
+// by a refusal although the call would end in time.
+TEST(hosted_node, AStopServesCallsOfRunsInProgressWhileItLasts) {
+  hosted_fleet platform_fleet{kMachines, 1, &PlatformDialect()};
+  platform_fleet.Publish("1 1000 k1 k2");
+  platform_fleet.Advance(seconds(6));
+  for (const size_t machine : {2U, 4U})
+    platform_fleet.SetTargetState(machine, fbs::member_state::kDraining);
+  platform_fleet.targets().SlowDown(platform_fleet.target_address(0), 260,
+                                    seconds(3));
+  platform_fleet.node(0).Drain([] {}, milliseconds(5500));
+  platform_fleet.Advance(milliseconds(2150));
+  platform_fleet.Send(1, "/safe/x", "k1", "a1");
+  platform_fleet.Advance(milliseconds(1650));
+  // Routes time out after 2 s, later than the end of the stop.
+  const auto in_time = platform_fleet.Send(0, "/inner/x", "", "a1.b2");
+  platform_fleet.Advance(milliseconds(100));
+  CHECK_EQUAL(200, in_time->response->status);
+  for (const size_t machine : {1U, 3U, 5U})
+    platform_fleet.targets().SlowDown(platform_fleet.target_address(machine),
+                                      1000, seconds(3));
+  const auto too_long = platform_fleet.Send(0, "/inner/x", "", "a1.b3");
+  platform_fleet.Advance(milliseconds(1600));
+  CHECK_TRUE(too_long->response.has_value());
+  CHECK_EQUAL(504, too_long->response->status);
+}
+
 // Load pattern: the fleet starts while the last service of a chain is full, so
 // few requests get beyond their first call. Guards against admission that
 // learns which routes lead to this service only once it has capacity, and
