Quarantine requests that crash their targets on the platform

Cause: the hosted node did not track such requests. suspect_tracker takes every lost connection for a crash and holds all requests that were in progress until each has run alone on an idle target.

Change: crash_detector takes lost connections for a crash only when the target then refuses connections, is replaced by another run or falls silent, and has answered no later call. crash_quarantine refuses a request after three crashes in a row without a completed run, unless another one in the last crash has as many. Nodes tell each other crashes and completed runs, and a restarted node what it missed.

Why it works: all nodes of the service count the same crashes, so the fourth run is refused wherever the request enters; requests that were only in progress complete elsewhere and are cleared.

--- /dev/null
+++ b/decisions/crash_quarantine.h
@@ -0,0 +1,78 @@
+#ifndef DECISIONS_CRASH_QUARANTINE_H_
+#define DECISIONS_CRASH_QUARANTINE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kernel/time.h"
+
+namespace skylarkhoist {
+
+// What one node knows of a request, by its fingerprint, that crashes targets.
+struct crash_record {
+  std::string service;
+  uint64_t fingerprint = 0;
+  // Crashes in a row at which it was in progress.
+  int crashes = 0;
+  bool quarantined = false;
+  duration time_left = duration::zero();
+};
+
+// Quarantines requests that crash each target that runs them. A request is
+// quarantined after three crashes in a row at which it was in progress, without
+// a completed run in between, unless another request has as many: then later
+// crashes tell them apart. Unlike suspect_tracker it holds no request back, so
+// that those that only ran beside the crash are not delayed.
+//
+// Load pattern: a target that runs many requests at a time crashes now and
+// then, and callers repeat what was lost.
+//
+// All nodes with targets of a service have to be told of each crash and of each
+// completed run of a request that was in progress at one.
+class crash_quarantine {
+ public:
+  explicit crash_quarantine(size_t max_entries = 10000)
+      : max_entries_(max_entries) {}
+
+  bool IsQuarantined(const std::string& service,
+                     uint64_t fingerprint,
+                     time_point now);
+
+  // A target crashed while it ran the requests `in_progress`.
+  void OnCrash(const std::string& service,
+               const std::vector<uint64_t>& in_progress,
+               time_point now);
+
+  // A run completed. Returns whether it ended a row of crashes, which the other
+  // nodes have to be told.
+  bool OnRunCompleted(const std::string& service, uint64_t fingerprint);
+
+  // Applies what another node knows.
+  void Merge(const crash_record& record, time_point now);
+
+  std::vector<crash_record> Snapshot(time_point now);
+
+ private:
+  using key = std::pair<std::string, uint64_t>;
+  struct entry {
+    int crashes = 0;
+    bool quarantined = false;
+    time_point expires_at;
+  };
+
+  entry& Upsert(const key& id, time_point expires_at);
+  void DropExpired(time_point now);
+
+  size_t max_entries_;
+  std::map<key, entry> entries_;
+  // Earliest expiry of an entry; avoids a scan for each request.
+  time_point next_expiry_ = time_point::max();
+};
+
+}  // namespace skylarkhoist
+
+#endif  // DECISIONS_CRASH_QUARANTINE_H_
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -33,6 +33,9 @@
 // left.
 constexpr duration kMinTimeForRetry = std::chrono::milliseconds(50);
 
+// A quarantine lasts for minutes.
+constexpr duration kQuarantineRetryAfter = std::chrono::minutes(1);
+
 // What a target said about itself is forgotten after this time without an
 // answer that repeats it. By then, its node has long heard from it again.
 constexpr duration kTargetReportRetention = std::chrono::minutes(10);
@@ -828,6 +831,8 @@
 // of the target latency, shorter on critical routes, so that a retry can still
 // succeed in time. Jitter spreads the retries.
 duration entry::ComputeRetryAfter(const open_call& call, reason why) {
+  if (why == reason::kQuarantined)
+    return kQuarantineRetryAfter;
   if (call.soft_deadline == time_point::max() || why == reason::kRateLimited)
     return options_.retry_after;
   const double latency_share = IsCriticalRoute(call.priority) ? 0.15 : 0.35;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -59,6 +59,9 @@
 // Minimum time that an admitted call may wait, whatever its target latency.
 constexpr duration kMinCallWait = std::chrono::milliseconds(100);
 
+// The losses of a crash are noticed within this time.
+constexpr duration kCrashReportDelay = std::chrono::milliseconds(100);
+
 // Rate limit on one node's log lines about ended executions.
 constexpr double kLoggedExecutionsPerSecond = 50;
 
@@ -102,8 +105,10 @@
 executor::~executor() {
   loop_->Cancel(target_expiry_timer_);
   loop_->Cancel(held_suspects_timer_);
-  for (auto& [address, target] : targets_)
+  for (auto& [address, target] : targets_) {
     loop_->Cancel(target.dispatch_timer);
+    loop_->Cancel(target.crash_timer);
+  }
   for (auto& [id, execution] : executions_) {
     if (execution.running)
       target_client_->Cancel(execution.target_call);
@@ -173,6 +178,8 @@
        announcement.state == fbs::member_state::kServing);
   const bool changed =
       restarted || target.announcement.state != announcement.state;
+  if (!inserted && !same_run)
+    ReportCrash(&target);
   target.announcement = announcement;
   target.announced_at = now;
   target.down = false;
@@ -303,6 +310,7 @@
     MarkDown(address);
     local_target& target = targets_.at(address);
     if (target.gate->running() == 0 && !target.reserved_for) {
+      ReportCrash(&target);
       loop_->Cancel(target.dispatch_timer);
       targets_.erase(address);
     }
@@ -409,7 +417,7 @@
       options_.track_suspects
           ? suspects_.Check(call.service, call.fingerprint, now)
           : suspect_verdict::kNormal;
-  if (verdict == suspect_verdict::kQuarantined)
+  if (verdict == suspect_verdict::kQuarantined || IsQuarantined(call))
     FinishRefused(id, reason::kQuarantined, false);
   else if (verdict == suspect_verdict::kNormal)
     Enqueue(id);
@@ -488,6 +496,8 @@
   auto refused = CheckBeforeRun(execution->call, now);
   if (!refused && execution->deadline <= now)
     refused = reason::kDeadlineBeforeRun;
+  if (!refused && IsQuarantined(execution->call))
+    refused = reason::kQuarantined;
   if (refused) {
     if (!execution->is_trial)
       target->gate->OnFinished(id, call_outcome::kCancelled, now);
@@ -574,6 +584,9 @@
   if (options_.track_suspects)
     UpdateSuspects(execution, result);
   const auto target = targets_.find(address);
+  if (options_.quarantine_crashing_requests)
+    ObserveCrashes(target == targets_.end() ? nullptr : &target->second,
+                   execution, result, outcome);
   if (target != targets_.end()) {
     if (!execution.is_trial)
       target->second.gate->OnFinished(
@@ -640,6 +653,92 @@
     SendSuspectNotices({*notice});
 }
 
+bool executor::IsQuarantined(const fbs::call_requestT& call) {
+  return options_.quarantine_crashing_requests &&
+         quarantine_.IsQuarantined(call.service, call.fingerprint,
+                                   loop_->Now());
+}
+
+void executor::ObserveCrashes(local_target* target,
+                              const open_execution& ended,
+                              const target_result& result,
+                              run_outcome outcome) {
+  const std::string& service = ended.call.service;
+  const uint64_t fingerprint = ended.call.fingerprint;
+  const bool same_run = target != nullptr &&
+                        ended.run.id == target->announcement.id &&
+                        ended.run.generation == target->announcement.generation;
+  if (result.error == target_error::kNone) {
+    if (same_run)
+      target->crashes.OnResponse(ended.started_at);
+    if (outcome == run_outcome::kRan &&
+        quarantine_.OnRunCompleted(service, fingerprint) && on_suspect_) {
+      suspect_notice cleared;
+      cleared.service = service;
+      cleared.fingerprint = fingerprint;
+      cleared.status = suspect_status::kCleared;
+      on_suspect_(ToWire(cleared));
+    }
+  } else if (!same_run) {
+    return;
+  } else if (result.error == target_error::kConnectionLost &&
+             result.may_have_run) {
+    target->crashes.OnRunLost(fingerprint, loop_->Now());
+  } else if (result.error == target_error::kConnectRefused) {
+    ScheduleCrashReport(target);
+  }
+}
+
+void executor::ScheduleCrashReport(local_target* target) {
+  if (target->crash_timer != 0)
+    return;
+  target->crash_timer = loop_->RunAfter(
+      kCrashReportDelay, [this, address = target->announcement.address] {
+        local_target& crashed = targets_.at(address);
+        crashed.crash_timer = 0;
+        ReportCrash(&crashed);
+      });
+}
+
+// Counts the requests that the target was running when its process ended,
+// unless it ended as planned.
+void executor::ReportCrash(local_target* target) {
+  loop_->Cancel(std::exchange(target->crash_timer, 0));
+  const time_point now = loop_->Now();
+  fbs::target_crashT crash;
+  crash.service = target->announcement.service;
+  crash.fingerprints = target->crashes.TakeRunsInCrash(now);
+  if (crash.fingerprints.empty() || target->status.leaving ||
+      target->announcement.state != fbs::member_state::kServing)
+    return;
+  LogStateChange("executor", "target_crashed",
+                 {{"service", crash.service},
+                  {"address", target->announcement.address},
+                  {"runs", std::to_string(crash.fingerprints.size())}});
+  quarantine_.OnCrash(crash.service, crash.fingerprints, now);
+  if (on_target_crash_)
+    on_target_crash_(crash);
+}
+
+void executor::HandleTargetCrash(const fbs::target_crashT& crash) {
+  quarantine_.OnCrash(crash.service, crash.fingerprints, loop_->Now());
+}
+
+std::vector<fbs::suspectT> executor::RequestsInCrashes() {
+  std::vector<fbs::suspectT> requests;
+  for (const crash_record& record : quarantine_.Snapshot(loop_->Now())) {
+    suspect_notice notice;
+    notice.service = record.service;
+    notice.fingerprint = record.fingerprint;
+    notice.status = record.quarantined ? suspect_status::kQuarantined
+                                       : suspect_status::kSuspect;
+    notice.crashes = record.crashes;
+    notice.time_left = record.time_left;
+    requests.push_back(ToWire(notice));
+  }
+  return requests;
+}
+
 void executor::SendSuspectNotices(const std::vector<suspect_notice>& notices) {
   for (const suspect_notice& notice : notices) {
     if (on_suspect_)
@@ -648,6 +747,17 @@
 }
 
 void executor::HandleSuspect(const fbs::suspectT& suspect) {
+  if (options_.quarantine_crashing_requests) {
+    if (suspect.state == fbs::suspect_state::kCleared)
+      quarantine_.OnRunCompleted(suspect.service, suspect.fingerprint);
+    else
+      quarantine_.Merge(
+          {suspect.service, suspect.fingerprint, suspect.deaths,
+           suspect.state == fbs::suspect_state::kQuarantined,
+           std::chrono::milliseconds(suspect.time_left_ms)},
+          loop_->Now());
+    return;
+  }
   if (suspects_.Merge(FromWire(suspect), loop_->Now()))
     ProcessHeldSuspects();
 }
--- a/node/executor.h
+++ b/node/executor.h
@@ -12,6 +12,8 @@
 #include "decisions/answer_cache.h"
 #include "decisions/config_view.h"
 #include "decisions/context_tokens.h"
+#include "decisions/crash_detector.h"
+#include "decisions/crash_quarantine.h"
 #include "decisions/suspect_tracker.h"
 #include "decisions/target_scheduler.h"
 #include "decisions/target_status_tracker.h"
@@ -65,6 +67,9 @@
   // Holds back requests that were in progress when a target crashed (see
   // suspect_tracker).
   bool track_suspects = true;
+  // Refuses requests that crash their targets again and again, without holding
+  // others back (see crash_quarantine). Not to be used with `track_suspects`.
+  bool quarantine_crashing_requests = false;
   // Share of a target's slots that are used. A target that slows down or hangs
   // when it is full keeps a spare slot for new connections.
   double usable_slot_share = 0.95;
@@ -106,10 +111,17 @@
   void HandleQuery(const peer_info& from, const fbs::call_queryT& query);
   void HandleSuspect(const fbs::suspectT& suspect);
 
+  // A target of the service beside another node has crashed.
+  void HandleTargetCrash(const fbs::target_crashT& crash);
+
   // Returns the suspects and quarantined requests of a service, for a node that
   // may not know them.
   std::vector<fbs::suspectT> SuspectsOf(const std::string& service);
 
+  // Returns the requests that were in progress at crashes, for a node that may
+  // not know them.
+  std::vector<fbs::suspectT> RequestsInCrashes();
+
   void OnChildCallStart(const request_id& parent) override;
   void OnChildCallEnd(const request_id& parent, bool failed) override;
 
@@ -130,6 +142,11 @@
   void OnSuspect(std::function<void(const fbs::suspectT&)> callback) {
     on_suspect_ = std::move(callback);
   }
+  // `callback` sends the message to the peers that serve the same service.
+  void OnTargetCrash(
+      std::function<void(const fbs::target_crashT&)> callback) {
+    on_target_crash_ = std::move(callback);
+  }
   // `loads` returns the load levels of the services behind a call, which are
   // returned with its answer.
   void SetDownstreamLoads(std::function<std::vector<fbs::load_levelT>(
@@ -163,6 +180,8 @@
     // Call of a suspect that waits for the target to be idle or runs on it
     // alone.
     std::optional<request_id> reserved_for;
+    crash_detector crashes;
+    timer_id crash_timer = 0;
     timer_id dispatch_timer = 0;
   };
   struct open_execution {
@@ -233,6 +252,14 @@
   void ExpireTargets();
   void SendSuspectNotices(const std::vector<suspect_notice>& notices);
   void UpdateSuspects(const open_execution& ended, const target_result& result);
+  // The same for the quarantine without trials.
+  void ObserveCrashes(local_target* target,
+                      const open_execution& ended,
+                      const target_result& result,
+                      run_outcome outcome);
+  void ScheduleCrashReport(local_target* target);
+  void ReportCrash(local_target* target);
+  bool IsQuarantined(const fbs::call_requestT& call);
 
   loop* loop_;
   peer_transport* transport_;
@@ -241,6 +268,7 @@
   std::shared_ptr<const config_view> config_;
   context_tokens contexts_;
   suspect_tracker suspects_;
+  crash_quarantine quarantine_;
   answer_cache<fbs::call_answerT> answers_;
   target_map targets_;
   // Outlives the entries of `targets_`, which end with missing announcements.
@@ -255,6 +283,7 @@
   std::function<void()> on_drained_;
   std::function<void()> on_targets_changed_;
   std::function<void(const fbs::suspectT&)> on_suspect_;
+  std::function<void(const fbs::target_crashT&)> on_target_crash_;
   std::function<std::vector<fbs::load_levelT>(const fbs::call_requestT&)>
       downstream_loads_;
   std::function<void(const std::string& route, bool starts)> on_run_;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -64,6 +64,7 @@
   result.announcement_timeout = options.announcement_timeout;
   result.dialect = options.dialect;
   result.track_suspects = false;
+  result.quarantine_crashing_requests = true;
   result.answers.retention = kAnswerRetention;
   result.answers.max_answer_bytes = kMaxRetainedAnswerBytes;
   return result;
@@ -145,6 +146,14 @@
   executor_.OnRun([this](const std::string& route, bool started) {
     OnRun(route, started);
   });
+  executor_.OnSuspect([this](const fbs::suspectT& suspect) {
+    for (const std::string& peer : PeersServing(suspect.service))
+      transport_.Send(peer, MakeEnvelope(fbs::suspectT(suspect)));
+  });
+  executor_.OnTargetCrash([this](const fbs::target_crashT& crash) {
+    for (const std::string& peer : PeersServing(crash.service))
+      transport_.Send(peer, MakeEnvelope(fbs::target_crashT(crash)));
+  });
   entry_.OnLocalCall(
       [this](const std::string& route, const std::string& parent_route) {
         OnLocalCall(route, parent_route);
@@ -198,6 +207,23 @@
   }
 }
 
+// Nodes without a target count too, since that may only be down.
+std::vector<std::string> hosted_node::PeersServing(
+    const std::string& service) const {
+  std::vector<std::string> peers;
+  for (const node_view& node : directory_.LiveViews()) {
+    const bool serves =
+        node.targets.empty() ||
+        std::any_of(node.targets.begin(), node.targets.end(),
+                    [&](const target_view& target) {
+                      return target.service == service;
+                    });
+    if (serves && node.address != options_.peer_address)
+      peers.push_back(node.address);
+  }
+  return peers;
+}
+
 // All readers of the fleet read in turn: first those of the first zone, by
 // their rank in it.
 void hosted_node::UpdateReader() {
@@ -249,6 +275,10 @@
     directory_.HandleViewRequest(from, *view_request);
   else if (const auto* view = body.Aszone_view())
     directory_.HandleView(from, *view);
+  else if (const auto* suspect = body.Assuspect())
+    executor_.HandleSuspect(*suspect);
+  else if (const auto* crash = body.Astarget_crash())
+    executor_.HandleTargetCrash(*crash);
   else if (const auto* addresses = body.Asnode_addresses())
     directory_.HandleAddresses(*addresses);
   else if (const auto* heartbeat = body.Asheartbeat())
@@ -264,6 +294,11 @@
 void hosted_node::OnLinkUp(const peer_info& peer) {
   directory_.OnLinkUp(peer);
   entry_.OnLinkUp(peer);
+  // A node that has restarted does not know the requests that crash targets.
+  if (peer.address != options_.peer_address) {
+    for (fbs::suspectT& suspect : executor_.RequestsInCrashes())
+      transport_.Send(peer.address, MakeEnvelope(std::move(suspect)));
+  }
 }
 
 void hosted_node::OnLinkDown(const peer_info& peer, link_down_cause cause) {
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "decisions/call_counter.h"
 #include "decisions/call_estimator.h"
@@ -122,6 +123,8 @@
 
   void HandleHeartbeat(const peer_info& from, const fbs::heartbeatT& heartbeat);
   void OnMembersChanged();
+  // Peer addresses of the other nodes that may have a target of the service.
+  std::vector<std::string> PeersServing(const std::string& service) const;
   // Informs the nodes of the own zone, and a few of other zones, which records
   // this node has applied.
   void BroadcastOffset();
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -21,6 +21,7 @@
 TEST_GROUP(hosted_node) {
   static constexpr size_t kMachines = 6;
   hosted_fleet fleet{kMachines, 1};
+  std::vector<int64_t> announced_crashes = std::vector<int64_t>(kMachines, 0);
 
   void Start(const std::string& config = "1 1000 k1 k2") {
     fleet.Publish(config);
@@ -36,6 +37,25 @@
     return runs;
   }
 
+  int64_t CrashesOfFront() {
+    int64_t crashes = 0;
+    for (size_t machine = 0; machine < kMachines; machine += 2)
+      crashes += fleet.target_counters(machine).crashes;
+    return crashes;
+  }
+
+  // Crashed targets that run again announce themselves.
+  void RestartCrashedTargets() {
+    for (size_t machine = 0; machine < kMachines; machine += 2) {
+      const int64_t crashes = fleet.target_counters(machine).crashes;
+      if (crashes > announced_crashes[machine] &&
+          fleet.targets().IsUp(fleet.target_address(machine))) {
+        announced_crashes[machine] = crashes;
+        fleet.RestartTarget(machine, duration::zero());
+      }
+    }
+  }
+
   // Sends `per_second` requests to each of `machines` for `length`; returns how
   // many were answered with status 200.
   int SendLoad(const std::vector<size_t>& machines, int per_second,
@@ -474,6 +494,59 @@
   CHECK_EQUAL(504, too_long->response->status);
 }
 
+// Load pattern: a caller sends a request again and again that crashes each
+// target that runs it. Guards against targets, and the other requests at them,
+// that are lost to it without end.
+TEST(hosted_node, ARequestThatCrashesItsTargetsIsQuarantined) {
+  Start();
+  std::vector<std::shared_ptr<hosted_fleet::pending_response>> others;
+  int last_status = 0;
+  const int half = 12;
+  for (int round = 0; round < 2 * half; ++round) {
+    if (round == half)
+      others.clear();
+    const auto bad = fleet.Send(static_cast<size_t>(round) % kMachines,
+                                "/once/bad", "k1", "", "crash-this-target");
+    for (int i = 0; i < 12; ++i) {
+      others.push_back(
+          fleet.Send(1, "/once/" + std::to_string(round * 12 + i), "k1"));
+      fleet.Advance(milliseconds(100));
+      RestartCrashedTargets();
+    }
+    last_status = bad->response ? bad->response->status : 0;
+  }
+  CHECK_EQUAL(503, last_status);
+  // Three crashes, and as many before all nodes know of them.
+  CHECK_TRUE(CrashesOfFront() <= 6);
+  for (const auto& each : others) {
+    CHECK_TRUE(each->response.has_value());
+    CHECK_EQUAL(200, each->response->status);
+  }
+}
+
+// Load pattern: as above, and nodes restart. Guards against a node that forgets
+// the quarantine with its process.
+TEST(hosted_node, ARestartedNodeLearnsWhichRequestsAreQuarantined) {
+  Start();
+  for (int crashes = 1; crashes <= 3; ++crashes) {
+    fleet.Send(1, "/once/bad", "k1", "", "crash-this-target");
+    fleet.Advance(seconds(2));
+    RestartCrashedTargets();
+    fleet.Advance(seconds(1));
+    CHECK_EQUAL(crashes, CrashesOfFront());
+  }
+  fleet.StopNode(0);
+  fleet.StartNode(0);
+  fleet.Advance(seconds(2));
+  for (const size_t machine : {2U, 4U})
+    fleet.SetTargetState(machine, fbs::member_state::kDraining);
+  fleet.Advance(milliseconds(500));
+  const auto bad = fleet.Send(1, "/once/bad", "k1", "", "crash-this-target");
+  fleet.Advance(milliseconds(500));
+  CHECK_EQUAL(503, bad->response->status);
+  CHECK_EQUAL(3, CrashesOfFront());
+}
+
 // Load pattern: the fleet starts while the last service of a chain is full, so
 // few requests get beyond their first call. Guards against admission that
 // learns which routes lead to this service only once it has capacity, and
--- a/testing/hosted_fleet.cc
+++ b/testing/hosted_fleet.cc
@@ -174,11 +174,13 @@
     size_t index,
     const std::string& path,
     const std::string& key,
-    const std::string& id) {
+    const std::string& id,
+    const std::string& body) {
   auto pending = std::make_shared<pending_response>();
   http_request request;
-  request.method = "GET";
+  request.method = body.empty() ? "GET" : "POST";
   request.path = path;
+  request.body = body;
   if (!key.empty())
     request.headers.Add("Authorization", "Bearer " + key);
   if (!id.empty())
--- a/testing/hosted_fleet.h
+++ b/testing/hosted_fleet.h
@@ -54,7 +54,8 @@
   std::shared_ptr<pending_response> Send(size_t index,
                                          const std::string& path,
                                          const std::string& key,
-                                         const std::string& id = "");
+                                         const std::string& id = "",
+                                         const std::string& body = "");
   // Sends a request, advances the loop by `wait` and returns the status of the
   // response, or 0 without one.
   int SendAndWait(size_t index,
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -178,6 +178,10 @@
 struct node_addressesBuilder;
 struct node_addressesT;
 
+struct target_crash;
+struct target_crashBuilder;
+struct target_crashT;
+
 struct envelope;
 struct envelopeBuilder;
 struct envelopeT;
@@ -264,6 +268,8 @@
 bool operator!=(const node_addressT &lhs, const node_addressT &rhs);
 bool operator==(const node_addressesT &lhs, const node_addressesT &rhs);
 bool operator!=(const node_addressesT &lhs, const node_addressesT &rhs);
+bool operator==(const target_crashT &lhs, const target_crashT &rhs);
+bool operator!=(const target_crashT &lhs, const target_crashT &rhs);
 bool operator==(const envelopeT &lhs, const envelopeT &rhs);
 bool operator!=(const envelopeT &lhs, const envelopeT &rhs);
 
@@ -570,11 +576,12 @@
   zone_view_request = 23,
   zone_view = 24,
   node_addresses = 25,
+  target_crash = 26,
   MIN = NONE,
-  MAX = node_addresses
+  MAX = target_crash
 };
 
-inline const payload (&EnumValuespayload())[26] {
+inline const payload (&EnumValuespayload())[27] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -601,13 +608,14 @@
     payload::token_grant,
     payload::zone_view_request,
     payload::zone_view,
-    payload::node_addresses
+    payload::node_addresses,
+    payload::target_crash
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[27] = {
+  static const char * const names[28] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -634,13 +642,14 @@
     "zone_view_request",
     "zone_view",
     "node_addresses",
+    "target_crash",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::node_addresses)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::target_crash)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -749,6 +758,10 @@
   static const payload enum_value = payload::node_addresses;
 };
 
+template<> struct payloadTraits<skylarkhoist::fbs::target_crash> {
+  static const payload enum_value = payload::target_crash;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -853,6 +866,10 @@
   static const payload enum_value = payload::node_addresses;
 };
 
+template<> struct payloadUnionTraits<skylarkhoist::fbs::target_crashT> {
+  static const payload enum_value = payload::target_crash;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -1083,6 +1100,14 @@
     return type == payload::node_addresses ?
       reinterpret_cast<const skylarkhoist::fbs::node_addressesT *>(value) : nullptr;
   }
+  skylarkhoist::fbs::target_crashT *Astarget_crash() {
+    return type == payload::target_crash ?
+      reinterpret_cast<skylarkhoist::fbs::target_crashT *>(value) : nullptr;
+  }
+  const skylarkhoist::fbs::target_crashT *Astarget_crash() const {
+    return type == payload::target_crash ?
+      reinterpret_cast<const skylarkhoist::fbs::target_crashT *>(value) : nullptr;
+  }
 };
 
 
@@ -1192,6 +1217,10 @@
       return *(reinterpret_cast<const skylarkhoist::fbs::node_addressesT *>(lhs.value)) ==
              *(reinterpret_cast<const skylarkhoist::fbs::node_addressesT *>(rhs.value));
     }
+    case payload::target_crash: {
+      return *(reinterpret_cast<const skylarkhoist::fbs::target_crashT *>(lhs.value)) ==
+             *(reinterpret_cast<const skylarkhoist::fbs::target_crashT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -6263,6 +6292,89 @@
 
 flatbuffers::Offset<node_addresses> Createnode_addresses(flatbuffers::FlatBufferBuilder &_fbb, const node_addressesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct target_crashT : public flatbuffers::NativeTable {
+  typedef target_crash TableType;
+  std::string service{};
+  std::vector<uint64_t> fingerprints{};
+};
+
+struct target_crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef target_crashT NativeTableType;
+  typedef target_crashBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_FINGERPRINTS = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::Vector<uint64_t> *fingerprints() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_FINGERPRINTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_FINGERPRINTS) &&
+           verifier.VerifyVector(fingerprints()) &&
+           verifier.EndTable();
+  }
+  target_crashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(target_crashT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<target_crash> Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_crashT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct target_crashBuilder {
+  typedef target_crash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(target_crash::VT_SERVICE, service);
+  }
+  void add_fingerprints(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> fingerprints) {
+    fbb_.AddOffset(target_crash::VT_FINGERPRINTS, fingerprints);
+  }
+  explicit target_crashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<target_crash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<target_crash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<target_crash> Createtarget_crash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> fingerprints = 0) {
+  target_crashBuilder builder_(_fbb);
+  builder_.add_fingerprints(fingerprints);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct target_crash::Traits {
+  using type = target_crash;
+  static auto constexpr Create = Createtarget_crash;
+};
+
+inline flatbuffers::Offset<target_crash> Createtarget_crashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const std::vector<uint64_t> *fingerprints = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto fingerprints__ = fingerprints ? _fbb.CreateVector<uint64_t>(*fingerprints) : 0;
+  return skylarkhoist::fbs::Createtarget_crash(
+      _fbb,
+      service__,
+      fingerprints__);
+}
+
+flatbuffers::Offset<target_crash> Createtarget_crash(flatbuffers::FlatBufferBuilder &_fbb, const target_crashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct envelopeT : public flatbuffers::NativeTable {
   typedef envelope TableType;
   skylarkhoist::fbs::payloadUnion body{};
@@ -6358,6 +6470,9 @@
   const skylarkhoist::fbs::node_addresses *body_as_node_addresses() const {
     return body_type() == skylarkhoist::fbs::payload::node_addresses ? static_cast<const skylarkhoist::fbs::node_addresses *>(body()) : nullptr;
   }
+  const skylarkhoist::fbs::target_crash *body_as_target_crash() const {
+    return body_type() == skylarkhoist::fbs::payload::target_crash ? static_cast<const skylarkhoist::fbs::target_crash *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -6470,6 +6585,10 @@
   return body_as_node_addresses();
 }
 
+template<> inline const skylarkhoist::fbs::target_crash *envelope::body_as<skylarkhoist::fbs::target_crash>() const {
+  return body_as_target_crash();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -9148,6 +9267,47 @@
 }
 
 
+inline bool operator==(const target_crashT &lhs, const target_crashT &rhs) {
+  return
+      (lhs.service == rhs.service) &&
+      (lhs.fingerprints == rhs.fingerprints);
+}
+
+inline bool operator!=(const target_crashT &lhs, const target_crashT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline target_crashT *target_crash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<target_crashT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void target_crash::UnPackTo(target_crashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = fingerprints(); if (_e) { _o->fingerprints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->fingerprints[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<target_crash> target_crash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_crashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtarget_crash(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<target_crash> Createtarget_crash(flatbuffers::FlatBufferBuilder &_fbb, const target_crashT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const target_crashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _fingerprints = _o->fingerprints.size() ? _fbb.CreateVector(_o->fingerprints) : 0;
+  return skylarkhoist::fbs::Createtarget_crash(
+      _fbb,
+      _service,
+      _fingerprints);
+}
+
+
 inline bool operator==(const envelopeT &lhs, const envelopeT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -9292,6 +9452,10 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::node_addresses *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::target_crash: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::target_crash *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9411,6 +9575,10 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::node_addresses *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::target_crash: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::target_crash *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9518,6 +9686,10 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::node_addressesT *>(value);
       return Createnode_addresses(_fbb, ptr, _rehasher).Union();
     }
+    case payload::target_crash: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::target_crashT *>(value);
+      return Createtarget_crash(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9624,6 +9796,10 @@
       value = new skylarkhoist::fbs::node_addressesT(*reinterpret_cast<skylarkhoist::fbs::node_addressesT *>(u.value));
       break;
     }
+    case payload::target_crash: {
+      value = new skylarkhoist::fbs::target_crashT(*reinterpret_cast<skylarkhoist::fbs::target_crashT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9756,6 +9932,11 @@
       delete ptr;
       break;
     }
+    case payload::target_crash: {
+      auto ptr = reinterpret_cast<skylarkhoist::fbs::target_crashT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
