Keep in the store which targets leave

Cause: the departure was kept only in the process that confirmed it, and there only until the target's entry expired.

Change: departure_memory keeps departures by run, apart from the targets; departure_log writes them to the store, and a departure is confirmed only once it is there. A process that starts waits for them, or for a second report if the store does not answer.

Why it works: whatever confirmed a departure can be read by the next run of the process before it uses any target.

--- a/decisions/crash_detector.cc
+++ b/decisions/crash_detector.cc
@@ -11,11 +11,11 @@
 }
 
 void crash_detector::OnResponse(time_point sent_at) {
-  lost_runs_.erase(
-      std::remove_if(
-          lost_runs_.begin(), lost_runs_.end(),
-          [&](const lost_run& each) { return each.lost_at <= sent_at; }),
-      lost_runs_.end());
+  lost_runs_.erase(std::remove_if(lost_runs_.begin(), lost_runs_.end(),
+                                  [&](const lost_run& each) {
+                                    return each.lost_at <= sent_at;
+                                  }),
+                   lost_runs_.end());
 }
 
 std::vector<uint64_t> crash_detector::TakeRunsInCrash(time_point now) {
--- a/decisions/crash_quarantine.cc
+++ b/decisions/crash_quarantine.cc
@@ -59,7 +59,8 @@
     return;
   entry& known = Upsert({record.service, record.fingerprint},
                         now + std::min(record.time_left, kRetention));
-  known.crashes = std::max(known.crashes, std::min(record.crashes, kMaxCrashes));
+  known.crashes =
+      std::max(known.crashes, std::min(record.crashes, kMaxCrashes));
   known.quarantined = known.quarantined || record.quarantined;
 }
 
--- /dev/null
+++ b/node/departure_log.cc
@@ -0,0 +1,134 @@
+#include "node/departure_log.h"
+
+#include <string_view>
+#include <utility>
+
+#include "kernel/json.h"
+#include "kernel/log.h"
+
+namespace skylarkhoist {
+namespace {
+
+constexpr std::string_view kKeySuffix = "/departures";
+
+constexpr duration kRetryDelay = std::chrono::milliseconds(300);
+
+// Targets wait 1 s for a response to their announcement.
+constexpr duration kMaxWait = std::chrono::milliseconds(800);
+
+std::string Encode(const std::vector<target_departure>& departures) {
+  json items = json::array();
+  for (const target_departure& each : departures)
+    items.push_back({{"id", each.run.id},
+                     {"generation", each.run.generation},
+                     {"sequence", each.sequence},
+                     {"gone", each.gone}});
+  return json{{"departures", items}}.dump();
+}
+
+std::vector<target_departure> Decode(const std::string& value) {
+  std::vector<target_departure> departures;
+  const auto document = ParseJson(value);
+  if (!document || !document->is_object() || !document->contains("departures"))
+    return departures;
+  for (const json& item : (*document)["departures"]) {
+    if (!item.is_object() || !item.contains("id") || !item["id"].is_string() ||
+        !item.contains("generation") ||
+        !item["generation"].is_number_integer() || !item.contains("sequence") ||
+        !item["sequence"].is_number_integer() || !item.contains("gone") ||
+        !item["gone"].is_boolean())
+      continue;
+    departures.push_back(
+        {{item["id"], item["generation"]}, item["sequence"], item["gone"]});
+  }
+  return departures;
+}
+
+}  // namespace
+
+departure_log::departure_log(loop* run_loop,
+                             keyed_store* store,
+                             const std::string& node)
+    : loop_(run_loop), store_(store), key_(node + std::string(kKeySuffix)) {}
+
+departure_log::~departure_log() {
+  loop_->Cancel(retry_timer_);
+  for (auto& [id, each] : waiters_)
+    loop_->Cancel(each.timer);
+}
+
+void departure_log::Store(const std::vector<target_departure>& departures) {
+  ++version_;
+  value_ = Encode(departures);
+  Write();
+}
+
+void departure_log::Write() {
+  if (write_pending_)
+    return;
+  loop_->Cancel(std::exchange(retry_timer_, 0));
+  write_pending_ = true;
+  store_->Put(store_topic::kNodes, key_, value_,
+              [this, version = version_,
+               alive = std::weak_ptr<bool>(alive_)](const auto& result) {
+                if (!alive.expired())
+                  OnWritten(version, result.has_value());
+              });
+}
+
+void departure_log::OnWritten(uint64_t version, bool stored) {
+  write_pending_ = false;
+  if (!stored) {
+    LogWarning("departures", "write_failed", {{"key", key_}});
+    retry_timer_ = loop_->RunAfter(kRetryDelay, [this] {
+      retry_timer_ = 0;
+      Write();
+    });
+    return;
+  }
+  stored_version_ = version;
+  if (stored_version_ < version_)
+    Write();
+  for (auto each = waiters_.begin(); each != waiters_.end();) {
+    if (each->second.version > stored_version_) {
+      ++each;
+      continue;
+    }
+    loop_->Cancel(each->second.timer);
+    const auto done = std::move(each->second.done);
+    each = waiters_.erase(each);
+    done(true);
+  }
+}
+
+void departure_log::WhenStored(std::function<void(bool)> done) {
+  if (stored_version_ == version_) {
+    done(true);
+    return;
+  }
+  const uint64_t id = next_waiter_++;
+  const timer_id timer = loop_->RunAfter(kMaxWait, [this, id] {
+    const auto found = waiters_.find(id);
+    const auto late = std::move(found->second.done);
+    waiters_.erase(found);
+    late(false);
+  });
+  waiters_[id] = {version_, std::move(done), timer};
+}
+
+std::vector<target_departure> departure_log::Find(
+    const std::vector<keyed_record>& records) const {
+  for (const keyed_record& record : records) {
+    if (record.key == key_ && record.value)
+      return Decode(*record.value);
+  }
+  return {};
+}
+
+bool departure_log::IsDepartureKey(const std::string& key) {
+  return key.size() >= kKeySuffix.size() &&
+         key.compare(key.size() - kKeySuffix.size(), kKeySuffix.size(),
+                     kKeySuffix) == 0;
+}
+
+}  // namespace skylarkhoist
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -281,9 +281,9 @@
 
 void entry::StartDeadlineTimer(open_call* call) {
   loop_->Cancel(call->deadline_timer);
-  call->deadline_timer = loop_->RunAfter(
-      call->deadline + options_.deadline_grace - loop_->Now(),
-      [this, call_id = call->call_id] { OnDeadline(call_id); });
+  call->deadline_timer =
+      loop_->RunAfter(call->deadline + options_.deadline_grace - loop_->Now(),
+                      [this, call_id = call->call_id] { OnDeadline(call_id); });
 }
 
 entry_call_id entry::HandleChildCall(http_request request,
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -160,13 +160,16 @@
 
 bool executor::HandleAnnouncement(const target_announcement& announcement) {
   const time_point now = loop_->Now();
+  if (departures_.IsOutdated(RunOf(announcement), announcement.sequence, now)) {
+    stale_announcements_.Increment();
+    return false;
+  }
   auto [found, inserted] = targets_.try_emplace(announcement.address);
   local_target& target = found->second;
   const bool same_run =
       target.announcement.id == announcement.id &&
       target.announcement.generation == announcement.generation;
-  if (!inserted &&
-      (IsStale(target, announcement) || (target.departed && same_run))) {
+  if (!inserted && IsStale(target, announcement)) {
     stale_announcements_.Increment();
     return false;
   }
@@ -176,14 +179,15 @@
       target.announcement.service != announcement.service ||
       (target.announcement.state != fbs::member_state::kServing &&
        announcement.state == fbs::member_state::kServing);
-  const bool changed =
-      restarted || target.announcement.state != announcement.state;
+  const bool changed = restarted ||
+                       target.announcement.state != announcement.state ||
+                       (!knows_departures_ && !target.announced_again);
   if (!inserted && !same_run)
     ReportCrash(&target);
   target.announcement = announcement;
   target.announced_at = now;
   target.down = false;
-  target.departed = false;
+  target.announced_again = !inserted && same_run;
   const service_config settings = GateSettings(announcement);
   if (inserted)
     target.gate =
@@ -195,6 +199,8 @@
   UpdateStatus(&target, "announcement");
   if (!changed)
     return true;
+  if (announcement.state == fbs::member_state::kDraining)
+    RecordDeparture({RunOf(announcement), announcement.sequence, false});
   LogStateChange(
       "executor", "target_announced",
       {{"service", announcement.service},
@@ -214,10 +220,11 @@
 bool executor::HandleDeparture(const std::string& id, int64_t generation) {
   for (auto& [address, target] : targets_) {
     if (target.announcement.id != id ||
-        (generation != 0 && generation != target.announcement.generation))
+        (generation != 0 && generation < target.announcement.generation))
       continue;
-    target.departed = true;
     target.announcement.state = fbs::member_state::kGone;
+    RecordDeparture(
+        {RunOf(target.announcement), target.announcement.sequence, true});
     LogStateChange("executor", "target_departed",
                    {{"service", target.announcement.service},
                     {"address", address},
@@ -227,14 +234,46 @@
       on_targets_changed_();
     return true;
   }
+  // Its announcements may still arrive at this process, which may be new.
+  if (generation != 0)
+    RecordDeparture({{id, generation}, 0, true});
   return false;
 }
 
+void executor::RecordDeparture(const target_departure& departure) {
+  // Without these, a later run of the target could not be told apart.
+  if (departure.run.id.empty() || departure.run.generation == 0)
+    return;
+  if (departures_.Record(departure, loop_->Now()) && on_departure_)
+    on_departure_();
+}
+
+void executor::SetDepartures(const std::vector<target_departure>& departures) {
+  const time_point now = loop_->Now();
+  knows_departures_ = true;
+  for (const target_departure& departure : departures)
+    departures_.Record(departure, now);
+  for (auto& [address, target] : targets_) {
+    target_announcement& last = target.announcement;
+    if (last.state != fbs::member_state::kServing ||
+        !departures_.IsOutdated(RunOf(last), last.sequence, now))
+      continue;
+    last.state = fbs::member_state::kDraining;
+    LogStateChange(
+        "executor", "target_departed",
+        {{"service", last.service}, {"address", address}, {"id", last.id}});
+    RefuseQueued(address, reason::kNoTarget);
+  }
+  if (on_targets_changed_)
+    on_targets_changed_();
+}
+
 bool executor::IsInService(const local_target& target) const {
   // Checks the age at each use: after a pause of the process, calls arrive
   // before the timer that expires targets, and the last announcement may be out
   // of date.
   if (target.down || target.status.leaving ||
+      (!knows_departures_ && !target.announced_again) ||
       target.announcement.state != fbs::member_state::kServing ||
       target.announced_at + options_.announcement_timeout < loop_->Now())
     return false;
@@ -751,11 +790,10 @@
     if (suspect.state == fbs::suspect_state::kCleared)
       quarantine_.OnRunCompleted(suspect.service, suspect.fingerprint);
     else
-      quarantine_.Merge(
-          {suspect.service, suspect.fingerprint, suspect.deaths,
-           suspect.state == fbs::suspect_state::kQuarantined,
-           std::chrono::milliseconds(suspect.time_left_ms)},
-          loop_->Now());
+      quarantine_.Merge({suspect.service, suspect.fingerprint, suspect.deaths,
+                         suspect.state == fbs::suspect_state::kQuarantined,
+                         std::chrono::milliseconds(suspect.time_left_ms)},
+                        loop_->Now());
     return;
   }
   if (suspects_.Merge(FromWire(suspect), loop_->Now()))
--- a/node/executor.h
+++ b/node/executor.h
@@ -14,6 +14,7 @@
 #include "decisions/context_tokens.h"
 #include "decisions/crash_detector.h"
 #include "decisions/crash_quarantine.h"
+#include "decisions/departure_memory.h"
 #include "decisions/suspect_tracker.h"
 #include "decisions/target_scheduler.h"
 #include "decisions/target_status_tracker.h"
@@ -99,10 +100,22 @@
   bool HandleAnnouncement(const target_announcement& announcement);
 
   // Handles the departure of the target `id`, which announces nothing after it.
-  // `generation` identifies its run, as in its announcements; 0 when it is not
-  // known. Returns false when there is no such target.
+  // `generation` is that of its run, as in its announcements, or any up to that
+  // of the next run; 0 when nothing is known. Returns false when there is no
+  // such target.
   bool HandleDeparture(const std::string& id, int64_t generation);
 
+  // Targets that this process does not know may have left before it started.
+  // Until SetDepartures tells which, such a target is in service only from its
+  // second announcement on: a single one may be late.
+  void AwaitDepartures() { knows_departures_ = false; }
+  void SetDepartures(const std::vector<target_departure>& departures);
+
+  // Returns the targets that leave or have left.
+  std::vector<target_departure> Departures() {
+    return departures_.All(loop_->Now());
+  }
+
   // Returns the targets of this node for gossip.
   std::vector<fbs::target_entryT> DescribeTargets() const;
 
@@ -137,14 +150,17 @@
   void OnTargetsChanged(std::function<void()> callback) {
     on_targets_changed_ = std::move(callback);
   }
+  // `callback` runs when a target leaves.
+  void OnDeparture(std::function<void()> callback) {
+    on_departure_ = std::move(callback);
+  }
   // `callback` sends a suspect message to the peers that serve the same
   // service.
   void OnSuspect(std::function<void(const fbs::suspectT&)> callback) {
     on_suspect_ = std::move(callback);
   }
   // `callback` sends the message to the peers that serve the same service.
-  void OnTargetCrash(
-      std::function<void(const fbs::target_crashT&)> callback) {
+  void OnTargetCrash(std::function<void(const fbs::target_crashT&)> callback) {
     on_target_crash_ = std::move(callback);
   }
   // `loads` returns the load levels of the services behind a call, which are
@@ -174,9 +190,8 @@
     // Set when connections were refused since the last announcement or another
     // target uses the address.
     bool down = false;
-    // Set when this run of the target has departed; only another run can
-    // return.
-    bool departed = false;
+    // This run of the target has announced itself more than once.
+    bool announced_again = false;
     // Call of a suspect that waits for the target to be idle or runs on it
     // alone.
     std::optional<request_id> reserved_for;
@@ -215,6 +230,7 @@
   bool IsStale(const local_target& target,
                const target_announcement& announcement) const;
   bool IsInService(const local_target& target) const;
+  void RecordDeparture(const target_departure& departure);
   // Records what another node remembers of a local target.
   void HandleTargetReport(const fbs::target_reportT& report);
   // Applies what is known about the target now.
@@ -273,6 +289,8 @@
   target_map targets_;
   // Outlives the entries of `targets_`, which end with missing announcements.
   target_status_tracker target_statuses_;
+  departure_memory departures_;
+  bool knows_departures_ = true;
   std::unordered_map<request_id, open_execution, request_id_hash> executions_;
   // Running executions by the caller's id.
   std::unordered_map<std::string, request_id> runs_by_caller_id_;
@@ -282,6 +300,7 @@
   bool draining_ = false;
   std::function<void()> on_drained_;
   std::function<void()> on_targets_changed_;
+  std::function<void()> on_departure_;
   std::function<void(const fbs::suspectT&)> on_suspect_;
   std::function<void(const fbs::target_crashT&)> on_target_crash_;
   std::function<std::vector<fbs::load_levelT>(const fbs::call_requestT&)>
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -99,6 +99,7 @@
                  parts.store,
                  &transport_,
                  DirectoryOptions(options_)),
+      departure_log_(parts.run_loop, parts.store, options_.name),
       executor_(parts.run_loop,
                 &transport_,
                 parts.targets,
@@ -141,6 +142,13 @@
     BroadcastOffset();
   });
   directory_.OnMembersChanged([this] { OnMembersChanged(); });
+  executor_.AwaitDepartures();
+  directory_.OnRecordsRead([this](const std::vector<keyed_record>& records) {
+    if (!std::exchange(has_departures_, true))
+      executor_.SetDepartures(departure_log_.Find(records));
+  });
+  executor_.OnDeparture(
+      [this] { departure_log_.Store(executor_.Departures()); });
   executor_.OnTargetsChanged(
       [this] { directory_.SetTargets(executor_.DescribeTargets()); });
   executor_.OnRun([this](const std::string& route, bool started) {
@@ -212,12 +220,11 @@
     const std::string& service) const {
   std::vector<std::string> peers;
   for (const node_view& node : directory_.LiveViews()) {
-    const bool serves =
-        node.targets.empty() ||
-        std::any_of(node.targets.begin(), node.targets.end(),
-                    [&](const target_view& target) {
-                      return target.service == service;
-                    });
+    const bool serves = node.targets.empty() ||
+                        std::any_of(node.targets.begin(), node.targets.end(),
+                                    [&](const target_view& target) {
+                                      return target.service == service;
+                                    });
     if (serves && node.address != options_.peer_address)
       peers.push_back(node.address);
   }
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -12,6 +12,7 @@
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
 #include "kernel/random.h"
+#include "node/departure_log.h"
 #include "node/entry.h"
 #include "node/executor.h"
 #include "node/loopback_transport.h"
@@ -91,12 +92,20 @@
     return executor_.HandleAnnouncement(announcement);
   }
 
-  // Marks a target as gone that deregisters itself. `generation` identifies its
-  // run, 0 when unknown. Returns false when there is no such target.
+  // Marks a target as gone that deregisters itself. `generation` is that of its
+  // run or any up to that of the next one. Returns false when there is no such
+  // target.
   bool HandleDeparture(const std::string& target_id, int64_t generation) {
     return executor_.HandleDeparture(target_id, generation);
   }
 
+  // Calls `done` with true once a restart of this process would not forget the
+  // targets that leave, or with false if that takes too long. Only then has a
+  // departure been confirmed to the target.
+  void WhenDeparturesStored(std::function<void(bool stored)> done) {
+    departure_log_.WhenStored(std::move(done));
+  }
+
   // Whether callers should send new requests to this node.
   bool IsReady() const { return config_.ready() && !draining_; }
 
@@ -139,6 +148,7 @@
   hosted_node_dependencies parts_;
   loopback_transport transport_;
   node_directory directory_;
+  departure_log departure_log_;
   executor executor_;
   entry entry_;
   store_config_follower config_;
@@ -147,6 +157,8 @@
   // that makes it, estimated where it does not.
   call_counter counted_calls_;
   call_estimator estimated_calls_;
+  // The departures that an earlier run of this process stored were read.
+  bool has_departures_ = false;
   bool draining_ = false;
   std::function<void()> drained_;
   // When the process ends at the latest.
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -6,6 +6,7 @@
 
 #include "kernel/json.h"
 #include "kernel/log.h"
+#include "node/departure_log.h"
 #include "node/node_view_messages.h"
 #include "wire/address.h"
 
@@ -143,10 +144,13 @@
     return;
   }
   retry_delay_ = duration::zero();
+  if (records_callback_)
+    records_callback_(result->records);
   self_.lacks_addresses = false;
   size_t added = 0;
   for (const keyed_record& record : result->records) {
-    if (!record.value || record.key == options_.node)
+    if (!record.value || record.key == options_.node ||
+        departure_log::IsDepartureKey(record.key))
       continue;
     const auto value = ParseJson(*record.value);
     if (!value || !value->is_object() || !value->contains("address") ||
--- a/node/node_directory.h
+++ b/node/node_directory.h
@@ -111,6 +111,13 @@
   // All known zones in order of their names.
   std::vector<std::string> Zones() const;
 
+  // Sets a callback for the records of the nodes in the store, which are read
+  // at the start and from time to time.
+  void OnRecordsRead(
+      std::function<void(const std::vector<keyed_record>&)> callback) {
+    records_callback_ = std::move(callback);
+  }
+
   // Sets a callback for changes of the nodes: one was found, got or lost its
   // link, ended, or its zone came in or out of reach.
   void OnMembersChanged(std::function<void()> callback) {
@@ -192,6 +199,7 @@
   bool settled_ = false;
   bool allows_roles_ = false;
   std::function<void()> members_changed_callback_;
+  std::function<void(const std::vector<keyed_record>&)> records_callback_;
   duration retry_delay_ = duration::zero();
   timer_id step_timer_ = 0;
   timer_id reconnect_timer_ = 0;
