Bound the heads of responses in memory

Report of another operator: a target sent bytes without end in a head or a body, and the process that had called it ran out of memory.

Cause, as far as it applies here: bodies are bounded by call and in total, and the text of a head by call. But each field of a head takes 64 bytes besides its text, and heads did not count towards the total, so targets that send heads slowly and without end could hold a multiple of the limit for each call at the same time.

Change: fields count with their overhead, and heads towards the bound of all incomplete responses.

Tests, both failing before: http_target_client HeadsOfTinyFieldsAreBounded, HeadsCountWhenMemoryIsShort.

--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -30,6 +30,9 @@
 // Responses to earlier requests that are skipped before a call fails.
 constexpr int kMaxForeignResponses = 4;
 
+// Memory of a header field besides its text.
+constexpr size_t kFieldOverheadBytes = 2 * sizeof(std::string);
+
 // Bytes of chunk framing that are allowed for each byte of the body. Chunks of
 // one byte have five.
 constexpr size_t kMaxFramingPerBodyByte = 8;
@@ -123,7 +126,7 @@
       : client_(client), address_(std::move(address)) {}
 
   ~connection() {
-    client_->RemoveBufferedBytes(response_.body.size());
+    client_->RemoveBufferedBytes(buffered_bytes());
     if (stream_ != nullptr)
       bufferevent_free(stream_);
   }
@@ -197,9 +200,13 @@
   bool connected() const { return connected_; }
   time_point idle_until() const { return idle_until_; }
   const std::string& address() const { return address_; }
-  size_t buffered_bytes() const { return response_.body.size(); }
+  // Estimate of the memory that the incomplete response takes.
+  size_t buffered_bytes() const {
+    return header_bytes_ + response_.body.size();
+  }
   http_response TakeResponse() {
-    client_->RemoveBufferedBytes(response_.body.size());
+    client_->RemoveBufferedBytes(buffered_bytes());
+    header_bytes_ = 0;
     return std::exchange(response_, http_response());
   }
 
@@ -242,16 +249,18 @@
     received_bytes_ = 0;
     field_name_.clear();
     field_value_.clear();
-    header_bytes_ = 0;
     response_complete_ = false;
     parse_error_ = target_error::kNone;
   }
 
   int OnFieldName(std::string_view text) {
-    if (!field_value_.empty() || in_field_value_)
+    size_t size = text.size();
+    if (!field_value_.empty() || in_field_value_) {
       FinishField();
+      size += kFieldOverheadBytes;
+    }
     field_name_.append(text);
-    return CountHeaderBytes(text.size());
+    return CountHeaderBytes(size);
   }
 
   int OnFieldValue(std::string_view text) {
@@ -262,6 +271,7 @@
 
   int CountHeaderBytes(size_t count) {
     header_bytes_ += count;
+    client_->AddBufferedBytes(count);
     if (header_bytes_ <= client_->settings_.max_header_bytes)
       return 0;
     parse_error_ = target_error::kTooLarge;
--- a/wire/http_target_client.h
+++ b/wire/http_target_client.h
@@ -22,10 +22,11 @@
   // A connection that is not established within this time counts as refused.
   duration connect_timeout = std::chrono::seconds(1);
   size_t max_idle_per_target = 256;
+  // Includes the memory that each field takes besides its text.
   size_t max_header_bytes = 64U << 10U;
   size_t max_body_bytes = 8U << 20U;
-  // Upper bound of the incomplete response bodies of all calls together. Above
-  // it, the calls with the largest bodies fail.
+  // Upper bound of the incomplete responses of all calls together. Above it,
+  // the calls with the largest ones fail.
   size_t max_buffered_bytes = 64U << 20U;
   // Name of a header field that targets copy from the request to the response.
   // A response with a different value belongs to an earlier request and is
@@ -70,7 +71,7 @@
   void ReturnToPool(std::unique_ptr<connection> returned);
   void OnResponse(target_call_id id);
   void OnFailure(target_call_id id, target_error error);
-  // Counts a change of the bytes in incomplete response bodies.
+  // Counts a change of the bytes in incomplete responses.
   void AddBufferedBytes(size_t bytes);
   void RemoveBufferedBytes(size_t bytes) { buffered_bytes_ -= bytes; }
   // Fails calls until the buffered bytes are within their bound.
--- a/wire/http_target_client_test.cc
+++ b/wire/http_target_client_test.cc
@@ -426,6 +426,44 @@
   }
 }
 
+// Guards against heads that take many times the memory of their bytes, because
+// they consist of tiny fields, and that their targets send without end but
+// slowly enough to stay below the limit of bytes for long.
+TEST(http_target_client, HeadsOfTinyFieldsAreBounded) {
+  Call(Request("GET"), seconds(60));
+  CHECK_TRUE(AcceptOne());
+  ReadUntil("\r\n\r\n");
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  for (int i = 0; i < 2000; ++i)
+    head += "a:\r\n";
+  accepted.Write(head);
+  CHECK_TRUE(RunUntil(loop, [&] { return result.has_value(); }));
+  CHECK_TRUE(result->error == target_error::kTooLarge);
+}
+
+// Guards against a process that runs out of memory because many targets send
+// heads without end at the same time: only bodies were bounded over all calls.
+TEST(http_target_client, HeadsCountWhenMemoryIsShort) {
+  http_target_client_settings settings;
+  settings.max_buffered_bytes = 100'000;
+  client = std::make_unique<http_target_client>(&loop, settings, &counters);
+  std::vector<raw_socket> sockets;
+  size_t failed = 0;
+  for (int i = 0; i < 4; ++i) {
+    client->Call(listener.address(), Request("GET"), seconds(60),
+                 [&failed](const target_result& got) {
+                   failed += got.error == target_error::kTooLarge ? 1 : 0;
+                 });
+    CHECK_TRUE(AcceptOne());
+    ReadUntil("\r\n\r\n");
+    accepted.Write("HTTP/1.1 200 OK\r\nX: " + std::string(40'000, 'x'));
+    sockets.push_back(std::move(accepted));
+  }
+  CHECK_TRUE(RunUntil(loop, [&] { return failed == 2; }));
+  RunFor(loop, milliseconds(50));
+  CHECK_EQUAL(2U, failed);
+}
+
 // Guards against a target that sends bytes without end on an idle connection:
 // they must not be kept until the connection is used or expires.
 TEST(http_target_client, BytesOnAnIdleConnectionCloseIt) {
