Read the stored departures before they are replaced

Cause: a departure that reached a process before it had read what the store keeps, for example while the store was out of reach at its start, replaced the departures of its earlier runs there. Found by reading the change again.

Change: departure_log writes only once it has been read, and the first write has both.

Test, failing before: departures ADepartureBeforeTheReadKeepsEarlierOnes.

--- a/node/departure_log.cc
+++ b/node/departure_log.cc
@@ -64,7 +64,7 @@
 }
 
 void departure_log::Write() {
-  if (write_pending_)
+  if (!loaded_ || write_pending_)
     return;
   loop_->Cancel(std::exchange(retry_timer_, 0));
   write_pending_ = true;
@@ -87,7 +87,7 @@
     return;
   }
   stored_version_ = version;
-  if (stored_version_ < version_)
+  if (is_behind())
     Write();
   for (auto each = waiters_.begin(); each != waiters_.end();) {
     if (each->second.version > stored_version_) {
@@ -102,7 +102,7 @@
 }
 
 void departure_log::WhenStored(std::function<void(bool)> done) {
-  if (stored_version_ == version_) {
+  if (!is_behind()) {
     done(true);
     return;
   }
@@ -116,8 +116,9 @@
   waiters_[id] = {version_, std::move(done), timer};
 }
 
-std::vector<target_departure> departure_log::Find(
-    const std::vector<keyed_record>& records) const {
+std::vector<target_departure> departure_log::Load(
+    const std::vector<keyed_record>& records) {
+  loaded_ = true;
   for (const keyed_record& record : records) {
     if (record.key == key_ && record.value)
       return Decode(*record.value);
--- a/node/departure_log.h
+++ b/node/departure_log.h
@@ -18,6 +18,7 @@
 // confirms a departure to the target and may restart before the target has
 // ended.
 //
+//   departures = log.Load(records);   // at the start
 //   log.Store(departures);
 //   log.WhenStored([](bool stored) { confirm if `stored` });
 class departure_log {
@@ -27,7 +28,8 @@
   departure_log(const departure_log&) = delete;
   departure_log& operator=(const departure_log&) = delete;
 
-  // Replaces what the store keeps; repeats the write until it succeeds.
+  // Replaces what the store keeps, once Load has been called; repeats the write
+  // until it succeeds.
   void Store(const std::vector<target_departure>& departures);
 
   // Calls `done` with true once the store keeps what was last passed to Store,
@@ -35,9 +37,12 @@
   void WhenStored(std::function<void(bool stored)> done);
 
   // Returns what an earlier run of this process has stored, or nothing if
-  // `records`, the newest records of all nodes, don't have it.
-  std::vector<target_departure> Find(
-      const std::vector<keyed_record>& records) const;
+  // `records`, the newest records of all nodes, don't have it. What it returns
+  // has to be part of all later calls of Store.
+  std::vector<target_departure> Load(const std::vector<keyed_record>& records);
+
+  // Whether the store does not keep yet what was last passed to Store.
+  bool is_behind() const { return stored_version_ < version_; }
 
   // Returns whether a record of store_topic::kNodes holds departures.
   static bool IsDepartureKey(const std::string& key);
@@ -59,6 +64,7 @@
   // Number of the last call of Store, and of the last one that is stored.
   uint64_t version_ = 0;
   uint64_t stored_version_ = 0;
+  bool loaded_ = false;
   bool write_pending_ = false;
   timer_id retry_timer_ = 0;
   uint64_t next_waiter_ = 0;
--- a/node/departure_log_test.cc
+++ b/node/departure_log_test.cc
@@ -129,6 +129,25 @@
   CHECK_TRUE(RunsAtTarget() > 0);
 }
 
+// Guards against a departure that replaces the earlier ones in the store, since
+// it reaches a process that has not read them yet.
+TEST(departures, ADepartureBeforeTheReadKeepsEarlierOnes) {
+  CHECK_TRUE(fleet.node(0).HandleDeparture("t0", 5));
+  CHECK_TRUE(Confirm().value_or(false));
+  fleet.StopNode(0);
+  fleet.store().SetReachable("n0", false);
+  fleet.StartNode(0);
+  fleet.node(0).HandleDeparture("t9", 7);
+  fleet.Advance(seconds(1));
+  fleet.store().SetReachable("n0", true);
+  fleet.Advance(seconds(3));
+  CHECK_TRUE(Confirm().value_or(false));
+  RestartAllNodes();
+  fleet.Advance(milliseconds(500));
+  AnnounceLate();
+  CHECK_EQUAL(0, RunsAtTarget());
+}
+
 // Guards against a confirmation that a restart breaks, since the store did not
 // keep the departure, and against a target that waits for it without end.
 TEST(departures, OnlyAStoredDepartureIsConfirmed) {
@@ -173,14 +192,14 @@
   std::vector<keyed_record> records;
   for (const std::string& value : values) {
     records = {{"n0/departures", value, 1}};
-    CHECK_TRUE(log.Find(records).empty());
+    CHECK_TRUE(log.Load(records).empty());
   }
   const std::string valid =
       R"({"departures":[{"id":"t0","generation":5,"sequence":1,"gone":true}]})";
   records = {{"n1/departures", valid, 1}};
-  CHECK_TRUE(log.Find(records).empty());
+  CHECK_TRUE(log.Load(records).empty());
   records = {{"n0/departures", valid, 1}};
-  CHECK_EQUAL(1, log.Find(records).size());
+  CHECK_EQUAL(1, log.Load(records).size());
 }
 
 }  // namespace
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -145,8 +145,11 @@
   directory_.OnMembersChanged([this] { OnMembersChanged(); });
   executor_.AwaitDepartures();
   directory_.OnRecordsRead([this](const std::vector<keyed_record>& records) {
-    if (!std::exchange(has_departures_, true))
-      executor_.SetDepartures(departure_log_.Find(records));
+    if (std::exchange(has_departures_, true))
+      return;
+    executor_.SetDepartures(departure_log_.Load(records));
+    if (departure_log_.is_behind())
+      departure_log_.Store(executor_.Departures());
   });
   executor_.OnDeparture(
       [this] { departure_log_.Store(executor_.Departures()); });
