Count crashes of several targets at the same time once

Cause: a herd of targets was killed while all of them ran the same request. The quarantine took the crashes, which were reported one after the other, for a row, although each run had begun before the first crash. A completed run could not end it either.

Change: each crash carries when its runs began and were lost, and only runs that began after the crash before make a row, in whatever order nodes learn of them. Any completed run ends a row or a quarantine.

Why it works: a request that crashes each target crashes them one after the other; one that only ran when targets were killed at the same time has a row of one.

Tests: crash_quarantine CrashesAtTheSameTimeCountOnce; ACompletedRunEndsTheRow now also requires that a completed run ends a quarantine, where it required the opposite before: a completed run shows that the request does not crash each target.

--- a/decisions/crash_detector.h
+++ b/decisions/crash_detector.h
@@ -8,37 +8,39 @@
 
 namespace skylarkhoist {
 
+// A run of a request that was in progress when its target crashed.
+struct run_in_crash {
+  uint64_t fingerprint = 0;
+  time_point started_at;
+  time_point lost_at;
+};
+
 // Tells the crash of one target from connections that it only closes. A run
 // whose connection was lost counts as in progress at a crash if nothing shows
 // that the target was alive afterwards.
 //
-//   detector.OnRunLost(fingerprint, now);
+//   detector.OnRunLost({fingerprint, started_at, now});
 //   detector.OnResponse(sent_at);
 //   if (connections are refused, or a new process has announced itself)
 //     crashed = detector.TakeRunsInCrash(now);
 class crash_detector {
  public:
   // The connection of a run was lost before its response.
-  void OnRunLost(uint64_t fingerprint, time_point now);
+  void OnRunLost(const run_in_crash& run);
 
   // A response arrived to a call that was sent at `sent_at`.
   void OnResponse(time_point sent_at);
 
-  // The process of the target has ended without notice. Returns the
-  // fingerprints of the requests that it was running.
-  std::vector<uint64_t> TakeRunsInCrash(time_point now);
+  // The process of the target has ended without notice. Returns the runs that
+  // were in progress.
+  std::vector<run_in_crash> TakeRunsInCrash(time_point now);
 
  private:
-  struct lost_run {
-    uint64_t fingerprint = 0;
-    time_point lost_at;
-  };
-
   // Runs that were lost longer ago belong to another event.
   static constexpr duration kMaxDowntime = std::chrono::seconds(10);
   static constexpr size_t kMaxRuns = 1000;
 
-  std::vector<lost_run> lost_runs_;
+  std::vector<run_in_crash> lost_runs_;
 };
 
 }  // namespace skylarkhoist
--- a/decisions/crash_quarantine.cc
+++ b/decisions/crash_quarantine.cc
@@ -12,6 +12,9 @@
 // A request with this many crashes is quarantined even if others have as many.
 constexpr int kMaxCrashes = 5;
 
+// Runs that are kept of one request.
+constexpr size_t kMaxRuns = 16;
+
 // How long a quarantine, or a row of crashes without a further one, lasts.
 constexpr duration kRetention = std::chrono::minutes(5);
 
@@ -25,52 +28,65 @@
   return found != entries_.end() && found->second.quarantined;
 }
 
+int crash_quarantine::CrashesInARow(const entry& each) {
+  int count = 0;
+  time_point last_lost_at = time_point::min();
+  for (const run_in_crash& run : each.runs) {
+    if (run.started_at <= last_lost_at)
+      continue;
+    ++count;
+    last_lost_at = run.lost_at;
+  }
+  return count;
+}
+
 void crash_quarantine::OnCrash(const std::string& service,
-                               const std::vector<uint64_t>& in_progress,
+                               const std::vector<run_in_crash>& in_progress,
                                time_point now) {
   DropExpired(now);
-  const std::set<uint64_t> distinct(in_progress.begin(), in_progress.end());
-  std::vector<entry*> candidates;
-  for (const uint64_t fingerprint : distinct) {
-    entry& each = Upsert({service, fingerprint}, now + kRetention);
-    each.crashes = std::min(each.crashes + 1, kMaxCrashes);
-    if (each.crashes >= kCrashesToQuarantine)
-      candidates.push_back(&each);
+  std::set<entry*> candidates;
+  for (const run_in_crash& run : in_progress) {
+    entry& each = Upsert({service, run.fingerprint}, now + kRetention);
+    const auto position = std::upper_bound(
+        each.runs.begin(), each.runs.end(), run,
+        [](const run_in_crash& left, const run_in_crash& right) {
+          return left.lost_at < right.lost_at;
+        });
+    each.runs.insert(position, run);
+    if (each.runs.size() > kMaxRuns)
+      each.runs.erase(each.runs.begin());
+    if (CrashesInARow(each) >= kCrashesToQuarantine)
+      candidates.insert(&each);
   }
   for (entry* each : candidates) {
-    if (candidates.size() == 1 || each->crashes >= kMaxCrashes)
+    if (candidates.size() == 1 || CrashesInARow(*each) >= kMaxCrashes)
       each->quarantined = true;
   }
 }
 
 bool crash_quarantine::OnRunCompleted(const std::string& service,
                                       uint64_t fingerprint) {
-  const auto found = entries_.find({service, fingerprint});
-  // The run may have begun before the request was quarantined.
-  if (found == entries_.end() || found->second.quarantined)
-    return false;
-  entries_.erase(found);
-  return true;
+  return entries_.erase({service, fingerprint}) > 0;
 }
 
-void crash_quarantine::Merge(const crash_record& record, time_point now) {
+void crash_quarantine::Merge(const quarantined_request& request,
+                             time_point now) {
   DropExpired(now);
-  if (record.crashes <= 0 || record.time_left <= duration::zero())
+  if (request.time_left <= duration::zero())
     return;
-  entry& known = Upsert({record.service, record.fingerprint},
-                        now + std::min(record.time_left, kRetention));
-  known.crashes =
-      std::max(known.crashes, std::min(record.crashes, kMaxCrashes));
-  known.quarantined = known.quarantined || record.quarantined;
+  Upsert({request.service, request.fingerprint},
+         now + std::min(request.time_left, kRetention))
+      .quarantined = true;
 }
 
-std::vector<crash_record> crash_quarantine::Snapshot(time_point now) {
+std::vector<quarantined_request> crash_quarantine::Quarantined(time_point now) {
   DropExpired(now);
-  std::vector<crash_record> records;
-  for (const auto& [id, each] : entries_)
-    records.push_back({id.first, id.second, each.crashes, each.quarantined,
-                       each.expires_at - now});
-  return records;
+  std::vector<quarantined_request> requests;
+  for (const auto& [id, each] : entries_) {
+    if (each.quarantined)
+      requests.push_back({id.first, id.second, each.expires_at - now});
+  }
+  return requests;
 }
 
 crash_quarantine::entry& crash_quarantine::Upsert(const key& id,
--- a/decisions/crash_quarantine.h
+++ b/decisions/crash_quarantine.h
@@ -8,25 +8,25 @@
 #include <utility>
 #include <vector>
 
+#include "decisions/crash_detector.h"
 #include "kernel/time.h"
 
 namespace skylarkhoist {
 
-// What one node knows of a request, by its fingerprint, that crashes targets.
-struct crash_record {
+// A request in quarantine.
+struct quarantined_request {
   std::string service;
   uint64_t fingerprint = 0;
-  // Crashes in a row at which it was in progress.
-  int crashes = 0;
-  bool quarantined = false;
   duration time_left = duration::zero();
 };
 
 // Quarantines requests that crash each target that runs them. A request is
-// quarantined after three crashes in a row at which it was in progress, without
-// a completed run in between, unless another request has as many: then later
-// crashes tell them apart. Unlike suspect_tracker it holds no request back, so
-// that those that only ran beside the crash are not delayed.
+// quarantined after three crashes in a row at which it was in progress, each in
+// a run that began after the crash before, without a completed run in between;
+// unless another request has as many: then later crashes tell them apart.
+// Targets that crash at the same time, all with a frequent request, count once.
+// Unlike suspect_tracker it holds no request back, so that those that only ran
+// beside the crash are not delayed.
 //
 // Load pattern: a target that runs many requests at a time crashes now and
 // then, and callers repeat what was lost.
@@ -44,26 +44,31 @@
 
   // A target crashed while it ran the requests `in_progress`.
   void OnCrash(const std::string& service,
-               const std::vector<uint64_t>& in_progress,
+               const std::vector<run_in_crash>& in_progress,
                time_point now);
 
-  // A run completed. Returns whether it ended a row of crashes, which the other
-  // nodes have to be told.
+  // A run completed, so the request does not crash each target. Returns whether
+  // it was in progress at a crash, since then the other nodes have to be told.
   bool OnRunCompleted(const std::string& service, uint64_t fingerprint);
 
-  // Applies what another node knows.
-  void Merge(const crash_record& record, time_point now);
+  // Another node has quarantined the request.
+  void Merge(const quarantined_request& request, time_point now);
 
-  std::vector<crash_record> Snapshot(time_point now);
+  std::vector<quarantined_request> Quarantined(time_point now);
+
+  // Number of requests that were in progress at crashes.
+  size_t size() const { return entries_.size(); }
 
  private:
   using key = std::pair<std::string, uint64_t>;
   struct entry {
-    int crashes = 0;
+    // Since the last completed run, in the order of their ends.
+    std::vector<run_in_crash> runs;
     bool quarantined = false;
     time_point expires_at;
   };
 
+  static int CrashesInARow(const entry& each);
   entry& Upsert(const key& id, time_point expires_at);
   void DropExpired(time_point now);
 
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -722,7 +722,7 @@
     return;
   } else if (result.error == target_error::kConnectionLost &&
              result.may_have_run) {
-    target->crashes.OnRunLost(fingerprint, loop_->Now());
+    target->crashes.OnRunLost({fingerprint, ended.started_at, loop_->Now()});
   } else if (result.error == target_error::kConnectRefused) {
     ScheduleCrashReport(target);
   }
@@ -744,35 +744,53 @@
 void executor::ReportCrash(local_target* target) {
   loop_->Cancel(std::exchange(target->crash_timer, 0));
   const time_point now = loop_->Now();
-  fbs::target_crashT crash;
-  crash.service = target->announcement.service;
-  crash.fingerprints = target->crashes.TakeRunsInCrash(now);
-  if (crash.fingerprints.empty() || target->status.leaving ||
+  const std::string& service = target->announcement.service;
+  const std::vector<run_in_crash> runs = target->crashes.TakeRunsInCrash(now);
+  if (runs.empty() || target->status.leaving ||
       target->announcement.state != fbs::member_state::kServing)
     return;
   LogStateChange("executor", "target_crashed",
-                 {{"service", crash.service},
+                 {{"service", service},
                   {"address", target->announcement.address},
-                  {"runs", std::to_string(crash.fingerprints.size())}});
-  quarantine_.OnCrash(crash.service, crash.fingerprints, now);
-  if (on_target_crash_)
-    on_target_crash_(crash);
+                  {"runs", std::to_string(runs.size())}});
+  quarantine_.OnCrash(service, runs, now);
+  if (!on_target_crash_)
+    return;
+  fbs::target_crashT crash;
+  crash.service = service;
+  for (const run_in_crash& run : runs) {
+    auto item = std::make_unique<fbs::crashed_runT>();
+    item->fingerprint = run.fingerprint;
+    item->started_ms_ago =
+        static_cast<uint32_t>(ToMilliseconds(now - run.started_at));
+    item->lost_ms_ago =
+        static_cast<uint32_t>(ToMilliseconds(now - run.lost_at));
+    crash.runs.push_back(std::move(item));
+  }
+  on_target_crash_(crash);
 }
 
 void executor::HandleTargetCrash(const fbs::target_crashT& crash) {
-  quarantine_.OnCrash(crash.service, crash.fingerprints, loop_->Now());
+  const time_point now = loop_->Now();
+  std::vector<run_in_crash> runs;
+  for (const auto& item : crash.runs) {
+    if (item != nullptr)
+      runs.push_back({item->fingerprint,
+                      now - std::chrono::milliseconds(item->started_ms_ago),
+                      now - std::chrono::milliseconds(item->lost_ms_ago)});
+  }
+  quarantine_.OnCrash(crash.service, runs, now);
 }
 
-std::vector<fbs::suspectT> executor::RequestsInCrashes() {
+std::vector<fbs::suspectT> executor::QuarantinedRequests() {
   std::vector<fbs::suspectT> requests;
-  for (const crash_record& record : quarantine_.Snapshot(loop_->Now())) {
+  for (const quarantined_request& request :
+       quarantine_.Quarantined(loop_->Now())) {
     suspect_notice notice;
-    notice.service = record.service;
-    notice.fingerprint = record.fingerprint;
-    notice.status = record.quarantined ? suspect_status::kQuarantined
-                                       : suspect_status::kSuspect;
-    notice.crashes = record.crashes;
-    notice.time_left = record.time_left;
+    notice.service = request.service;
+    notice.fingerprint = request.fingerprint;
+    notice.status = suspect_status::kQuarantined;
+    notice.time_left = request.time_left;
     requests.push_back(ToWire(notice));
   }
   return requests;
@@ -789,9 +807,8 @@
   if (options_.quarantine_crashing_requests) {
     if (suspect.state == fbs::suspect_state::kCleared)
       quarantine_.OnRunCompleted(suspect.service, suspect.fingerprint);
-    else
-      quarantine_.Merge({suspect.service, suspect.fingerprint, suspect.deaths,
-                         suspect.state == fbs::suspect_state::kQuarantined,
+    else if (suspect.state == fbs::suspect_state::kQuarantined)
+      quarantine_.Merge({suspect.service, suspect.fingerprint,
                          std::chrono::milliseconds(suspect.time_left_ms)},
                         loop_->Now());
     return;
--- a/node/executor.h
+++ b/node/executor.h
@@ -131,9 +131,9 @@
   // may not know them.
   std::vector<fbs::suspectT> SuspectsOf(const std::string& service);
 
-  // Returns the requests that were in progress at crashes, for a node that may
-  // not know them.
-  std::vector<fbs::suspectT> RequestsInCrashes();
+  // Returns the requests that quarantine_crashing_requests refuses, for a node
+  // that may not know them.
+  std::vector<fbs::suspectT> QuarantinedRequests();
 
   void OnChildCallStart(const request_id& parent) override;
   void OnChildCallEnd(const request_id& parent, bool failed) override;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -307,7 +307,7 @@
   entry_.OnLinkUp(peer);
   // A node that has restarted does not know the requests that crash targets.
   if (peer.address != options_.peer_address) {
-    for (fbs::suspectT& suspect : executor_.RequestsInCrashes())
+    for (fbs::suspectT& suspect : executor_.QuarantinedRequests())
       transport_.Send(peer.address, MakeEnvelope(std::move(suspect)));
   }
 }
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -178,6 +178,10 @@
 struct node_addressesBuilder;
 struct node_addressesT;
 
+struct crashed_run;
+struct crashed_runBuilder;
+struct crashed_runT;
+
 struct target_crash;
 struct target_crashBuilder;
 struct target_crashT;
@@ -268,6 +272,8 @@
 bool operator!=(const node_addressT &lhs, const node_addressT &rhs);
 bool operator==(const node_addressesT &lhs, const node_addressesT &rhs);
 bool operator!=(const node_addressesT &lhs, const node_addressesT &rhs);
+bool operator==(const crashed_runT &lhs, const crashed_runT &rhs);
+bool operator!=(const crashed_runT &lhs, const crashed_runT &rhs);
 bool operator==(const target_crashT &lhs, const target_crashT &rhs);
 bool operator!=(const target_crashT &lhs, const target_crashT &rhs);
 bool operator==(const envelopeT &lhs, const envelopeT &rhs);
@@ -6370,10 +6376,94 @@
 
 flatbuffers::Offset<node_addresses> Createnode_addresses(flatbuffers::FlatBufferBuilder &_fbb, const node_addressesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct crashed_runT : public flatbuffers::NativeTable {
+  typedef crashed_run TableType;
+  uint64_t fingerprint = 0;
+  uint32_t started_ms_ago = 0;
+  uint32_t lost_ms_ago = 0;
+};
+
+struct crashed_run FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef crashed_runT NativeTableType;
+  typedef crashed_runBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FINGERPRINT = 4,
+    VT_STARTED_MS_AGO = 6,
+    VT_LOST_MS_AGO = 8
+  };
+  uint64_t fingerprint() const {
+    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  }
+  uint32_t started_ms_ago() const {
+    return GetField<uint32_t>(VT_STARTED_MS_AGO, 0);
+  }
+  uint32_t lost_ms_ago() const {
+    return GetField<uint32_t>(VT_LOST_MS_AGO, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STARTED_MS_AGO, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LOST_MS_AGO, 4) &&
+           verifier.EndTable();
+  }
+  crashed_runT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(crashed_runT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<crashed_run> Pack(flatbuffers::FlatBufferBuilder &_fbb, const crashed_runT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct crashed_runBuilder {
+  typedef crashed_run Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fingerprint(uint64_t fingerprint) {
+    fbb_.AddElement<uint64_t>(crashed_run::VT_FINGERPRINT, fingerprint, 0);
+  }
+  void add_started_ms_ago(uint32_t started_ms_ago) {
+    fbb_.AddElement<uint32_t>(crashed_run::VT_STARTED_MS_AGO, started_ms_ago, 0);
+  }
+  void add_lost_ms_ago(uint32_t lost_ms_ago) {
+    fbb_.AddElement<uint32_t>(crashed_run::VT_LOST_MS_AGO, lost_ms_ago, 0);
+  }
+  explicit crashed_runBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<crashed_run> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<crashed_run>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<crashed_run> Createcrashed_run(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fingerprint = 0,
+    uint32_t started_ms_ago = 0,
+    uint32_t lost_ms_ago = 0) {
+  crashed_runBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
+  builder_.add_lost_ms_ago(lost_ms_ago);
+  builder_.add_started_ms_ago(started_ms_ago);
+  return builder_.Finish();
+}
+
+struct crashed_run::Traits {
+  using type = crashed_run;
+  static auto constexpr Create = Createcrashed_run;
+};
+
+flatbuffers::Offset<crashed_run> Createcrashed_run(flatbuffers::FlatBufferBuilder &_fbb, const crashed_runT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct target_crashT : public flatbuffers::NativeTable {
   typedef target_crash TableType;
   std::string service{};
-  std::vector<uint64_t> fingerprints{};
+  std::vector<std::unique_ptr<skylarkhoist::fbs::crashed_runT>> runs{};
+  target_crashT() = default;
+  target_crashT(const target_crashT &o);
+  target_crashT(target_crashT&&) FLATBUFFERS_NOEXCEPT = default;
+  target_crashT &operator=(target_crashT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct target_crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6382,20 +6472,21 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
-    VT_FINGERPRINTS = 6
+    VT_RUNS = 6
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
   }
-  const flatbuffers::Vector<uint64_t> *fingerprints() const {
-    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_FINGERPRINTS);
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::crashed_run>> *runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::crashed_run>> *>(VT_RUNS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
-           VerifyOffset(verifier, VT_FINGERPRINTS) &&
-           verifier.VerifyVector(fingerprints()) &&
+           VerifyOffset(verifier, VT_RUNS) &&
+           verifier.VerifyVector(runs()) &&
+           verifier.VerifyVectorOfTables(runs()) &&
            verifier.EndTable();
   }
   target_crashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6410,8 +6501,8 @@
   void add_service(flatbuffers::Offset<flatbuffers::String> service) {
     fbb_.AddOffset(target_crash::VT_SERVICE, service);
   }
-  void add_fingerprints(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> fingerprints) {
-    fbb_.AddOffset(target_crash::VT_FINGERPRINTS, fingerprints);
+  void add_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::crashed_run>>> runs) {
+    fbb_.AddOffset(target_crash::VT_RUNS, runs);
   }
   explicit target_crashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -6427,9 +6518,9 @@
 inline flatbuffers::Offset<target_crash> Createtarget_crash(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> service = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> fingerprints = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::crashed_run>>> runs = 0) {
   target_crashBuilder builder_(_fbb);
-  builder_.add_fingerprints(fingerprints);
+  builder_.add_runs(runs);
   builder_.add_service(service);
   return builder_.Finish();
 }
@@ -6442,13 +6533,13 @@
 inline flatbuffers::Offset<target_crash> Createtarget_crashDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
-    const std::vector<uint64_t> *fingerprints = nullptr) {
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::crashed_run>> *runs = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
-  auto fingerprints__ = fingerprints ? _fbb.CreateVector<uint64_t>(*fingerprints) : 0;
+  auto runs__ = runs ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::crashed_run>>(*runs) : 0;
   return skylarkhoist::fbs::Createtarget_crash(
       _fbb,
       service__,
-      fingerprints__);
+      runs__);
 }
 
 flatbuffers::Offset<target_crash> Createtarget_crash(flatbuffers::FlatBufferBuilder &_fbb, const target_crashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9369,10 +9460,55 @@
 }
 
 
+inline bool operator==(const crashed_runT &lhs, const crashed_runT &rhs) {
+  return
+      (lhs.fingerprint == rhs.fingerprint) &&
+      (lhs.started_ms_ago == rhs.started_ms_ago) &&
+      (lhs.lost_ms_ago == rhs.lost_ms_ago);
+}
+
+inline bool operator!=(const crashed_runT &lhs, const crashed_runT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline crashed_runT *crashed_run::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<crashed_runT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void crashed_run::UnPackTo(crashed_runT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = fingerprint(); _o->fingerprint = _e; }
+  { auto _e = started_ms_ago(); _o->started_ms_ago = _e; }
+  { auto _e = lost_ms_ago(); _o->lost_ms_ago = _e; }
+}
+
+inline flatbuffers::Offset<crashed_run> crashed_run::Pack(flatbuffers::FlatBufferBuilder &_fbb, const crashed_runT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcrashed_run(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<crashed_run> Createcrashed_run(flatbuffers::FlatBufferBuilder &_fbb, const crashed_runT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const crashed_runT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _fingerprint = _o->fingerprint;
+  auto _started_ms_ago = _o->started_ms_ago;
+  auto _lost_ms_ago = _o->lost_ms_ago;
+  return skylarkhoist::fbs::Createcrashed_run(
+      _fbb,
+      _fingerprint,
+      _started_ms_ago,
+      _lost_ms_ago);
+}
+
+
 inline bool operator==(const target_crashT &lhs, const target_crashT &rhs) {
   return
       (lhs.service == rhs.service) &&
-      (lhs.fingerprints == rhs.fingerprints);
+      (lhs.runs.size() == rhs.runs.size() && std::equal(lhs.runs.cbegin(), lhs.runs.cend(), rhs.runs.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::crashed_runT> const &a, std::unique_ptr<skylarkhoist::fbs::crashed_runT> const &b) { return (a == b) || (a && b && *a == *b); }));
 }
 
 inline bool operator!=(const target_crashT &lhs, const target_crashT &rhs) {
@@ -9380,6 +9516,18 @@
 }
 
 
+inline target_crashT::target_crashT(const target_crashT &o)
+      : service(o.service) {
+  runs.reserve(o.runs.size());
+  for (const auto &runs_ : o.runs) { runs.emplace_back((runs_) ? new skylarkhoist::fbs::crashed_runT(*runs_) : nullptr); }
+}
+
+inline target_crashT &target_crashT::operator=(target_crashT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(service, o.service);
+  std::swap(runs, o.runs);
+  return *this;
+}
+
 inline target_crashT *target_crash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<target_crashT>();
   UnPackTo(_o.get(), _resolver);
@@ -9390,7 +9538,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = service(); if (_e) _o->service = _e->str(); }
-  { auto _e = fingerprints(); if (_e) { _o->fingerprints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->fingerprints[_i] = _e->Get(_i); } } }
+  { auto _e = runs(); if (_e) { _o->runs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->runs[_i] = std::unique_ptr<skylarkhoist::fbs::crashed_runT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<target_crash> target_crash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_crashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9402,11 +9550,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const target_crashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
-  auto _fingerprints = _o->fingerprints.size() ? _fbb.CreateVector(_o->fingerprints) : 0;
+  auto _runs = _o->runs.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::crashed_run>> (_o->runs.size(), [](size_t i, _VectorArgs *__va) { return Createcrashed_run(*__va->__fbb, __va->__o->runs[i].get(), __va->__rehasher); }, &_va ) : 0;
   return skylarkhoist::fbs::Createtarget_crash(
       _fbb,
       _service,
-      _fingerprints);
+      _runs);
 }
 
 
