--- a/decisions/crash_quarantine_test.cc
+++ b/decisions/crash_quarantine_test.cc
@@ -21,6 +21,7 @@
   void Crash(const std::vector<uint64_t>& in_progress) {
     now += milliseconds(100);
     std::vector<run_in_crash> runs;
+    runs.reserve(in_progress.size());
     for (const uint64_t fingerprint : in_progress)
       runs.push_back({fingerprint, now - milliseconds(20), now});
     quarantine.OnCrash("front", runs, now);
