--- a/decisions/zone_aware_routing.cc
+++ b/decisions/zone_aware_routing.cc
@@ -77,8 +77,12 @@
       const route_candidate& each = candidates[i];
       const estimated_target estimated = {i, EstimateLoad(each, now)};
       all_targets.push_back(estimated);
-      if (estimated.estimate >= kFullPermille ||
-          random.Fraction() * highest_share >= SlowStartShare(each, now))
+      if (estimated.estimate >= kFullPermille)
+        continue;
+      // Draws a number only during a slow start: most targets have their full
+      // share, and there may be dozens of them for each call.
+      const double share = SlowStartShare(each, now);
+      if (share < highest_share && random.Fraction() * highest_share >= share)
         continue;
       if (each.failure_rate > max_failure_rate)
         failing_targets.push_back(estimated);
