Treat answers with a status above 599 as malformed

Checked: whether a target's answer with status 000 reaches the caller. It does not; codes below 100 already counted as malformed, but no test said so. Codes from 600 to 999 were passed on.

Change: the target client treats them as malformed, so the call counts as lost. Test: http_target_client FaultyResponsesAreErrors with 000, 0, 099, 600 and 999; the case 600 failed before.

--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -290,7 +290,10 @@
       FinishField();
     response_.status = parser_.status_code;
     response_.headers = std::exchange(fields_, http_headers());
-    if (parser_.status_code < 200 && parser_.status_code != 100) {
+    // Codes below 100 and above 599 are invalid, and callers would take some of
+    // them for an answer. No interim response but 100 is asked for.
+    if (parser_.status_code > 599 ||
+        (parser_.status_code < 200 && parser_.status_code != 100)) {
       parse_error_ = target_error::kMalformed;
       return -1;
     }
