Cancel the calls of a run that ends without an answer

Seen in an earlier measurement: child calls reached targets more than 0.5 s after the caller of the chain had left. The node beside the target of the parent waited until that target closed the connections of its calls.

Change: when a run ends without an answer of its target (cancelled, timed out, lost), the node cancels the run's open calls at once, and the node of each of those does the same. They end with the reason parent_ended.

Test: hosted_node CancelsTheCallsOfACallerThatLeft, which failed before (2 running calls instead of 1).

--- a/decisions/reason.cc
+++ b/decisions/reason.cc
@@ -36,6 +36,7 @@
         {"answer_damaged", 502, false},
         {"caller_gone", 499, false},
         {"target_limited", 503, true},
+        {"parent_ended", 504, false},
     }};
 
 }  // namespace
--- a/decisions/reason.h
+++ b/decisions/reason.h
@@ -41,6 +41,7 @@
   kAnswerDamaged,
   kCallerGone,
   kTargetLimited,
+  kParentEnded,
   kCount,
 };
 
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -203,8 +203,10 @@
           ? find_run_(call->metadata.parent_id)
           : nullptr;
   call->has_local_parent = parent != nullptr;
-  if (parent != nullptr)
+  if (parent != nullptr) {
     call->priority = PriorityFromWire(parent->priority_class);
+    calls_by_parent_.emplace(call->metadata.parent_id, call->call_id);
+  }
   if (on_local_call_)
     on_local_call_(route.name,
                    parent == nullptr ? std::string() : parent->route);
@@ -886,6 +888,8 @@
       child_call_observer_->OnChildCallEnd(parent->parent,
                                            response.status >= 500);
   }
+  if (call->has_local_parent)
+    ForgetParent(*call);
   const auto found = calls_.find(call->call_id);
   const std::unique_ptr<open_call> ended = std::move(found->second);
   calls_.erase(found);
@@ -895,6 +899,38 @@
     std::exchange(on_drained_, nullptr)();
 }
 
+void entry::ForgetParent(const open_call& call) {
+  const auto [first, last] =
+      calls_by_parent_.equal_range(call.metadata.parent_id);
+  const auto found = std::find_if(first, last, [&](const auto& each) {
+    return each.second == call.call_id;
+  });
+  if (found != last)
+    calls_by_parent_.erase(found);
+}
+
+void entry::CancelCallsOf(const std::string& parent_id) {
+  const auto [first, last] = calls_by_parent_.equal_range(parent_id);
+  std::vector<entry_call_id> calls;
+  for (auto each = first; each != last; ++each)
+    calls.push_back(each->second);
+  for (const entry_call_id call_id : calls) {
+    open_call* call = FindCall(call_id);
+    if (call == nullptr || call->caller_gone)
+      continue;
+    if (call->current_attempt)
+      SendCancel(*call);
+    FinishError(call, reason::kParentEnded, fbs::ran_state::kUnknown);
+  }
+}
+
+void entry::SendCancel(const open_call& call) {
+  fbs::call_cancelT cancel;
+  cancel.id = ToWire(call.current_attempt->id);
+  transport_->Send(call.current_attempt->address,
+                   MakeEnvelope(std::move(cancel)));
+}
+
 void entry::HandleCallerGone(entry_call_id id) {
   open_call* call = FindCall(id);
   if (call == nullptr || call->caller_gone)
@@ -902,10 +938,7 @@
   call->caller_gone = true;
   if (!call->current_attempt)
     return;  // Ends when its rate token or claim arrives.
-  fbs::call_cancelT cancel;
-  cancel.id = ToWire(call->current_attempt->id);
-  transport_->Send(call->current_attempt->address,
-                   MakeEnvelope(std::move(cancel)));
+  SendCancel(*call);
   // The result of a request that holds its idempotency key is still needed: the
   // caller may send the request again.
   if (!call->key_claimed)
@@ -921,10 +954,7 @@
     FinishError(call, reason::kDeadlineBeforeRun, fbs::ran_state::kNo);
     return;
   }
-  fbs::call_cancelT cancel;
-  cancel.id = ToWire(call->current_attempt->id);
-  transport_->Send(call->current_attempt->address,
-                   MakeEnvelope(std::move(cancel)));
+  SendCancel(*call);
   FinishError(call, reason::kDeadlineDuringRun, fbs::ran_state::kUnknown);
 }
 
--- a/node/entry.h
+++ b/node/entry.h
@@ -150,6 +150,12 @@
   // more.
   void HandleCallerGone(entry_call_id id);
 
+  // Cancels the open calls of a run at the local target that ended without an
+  // answer. `parent_id` is the id that the caller of the run gave it. Does not
+  // wait for the target to close the connections of these calls: the target may
+  // be slow to notice, and a call that starts meanwhile is wasted work.
+  void CancelCallsOf(const std::string& parent_id);
+
   void HandleAnswer(const peer_info& from, const fbs::call_answerT& answer);
   void HandleState(const peer_info& from, const fbs::call_stateT& state);
   void OnLinkUp(const peer_info& peer);
@@ -311,6 +317,9 @@
   bool IsZoneAllowed(const open_call& call, const std::string& zone) const;
   void SendAttempt(open_call* call, const route_candidate& target);
   void EndAttempt(open_call* call);
+  // Tells the node that has the call that its result is no longer needed.
+  void SendCancel(const open_call& call);
+  void ForgetParent(const open_call& call);
   void RecordLoadReport(const std::string& address,
                         const std::string& service,
                         uint32_t permille);
@@ -364,6 +373,8 @@
   std::map<std::string, weighted_round_robin> traffic_splits_;
   uint64_t next_sequence_ = 1;
   std::unordered_map<entry_call_id, std::unique_ptr<open_call>> calls_;
+  // Calls of runs at the local target, by the caller's id of the run.
+  std::unordered_multimap<std::string, entry_call_id> calls_by_parent_;
   std::unordered_map<request_id, entry_call_id, request_id_hash>
       calls_by_attempt_;
   // Incarnation of the peer on each link that is up, by address.
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -1004,11 +1004,17 @@
   ended_executions_.Increment(ReasonFromWire(answer.reason));
   LogExecutionEnd(execution, answer);
   const std::string origin = execution.origin.address;
+  const std::string aborted_run =
+      execution.running && answer.outcome != fbs::outcome::kAnswered
+          ? execution.caller_id
+          : std::string();
   executions_.erase(found);
   const size_t bytes = answer.body.size() + kAnswerOverheadBytes;
   auto stored = std::make_shared<const fbs::call_answerT>(std::move(answer));
   answers_.Finish(id, stored, bytes, loop_->Now());
   transport_->Send(origin, MakeEnvelope(fbs::call_answerT(*stored)));
+  if (!aborted_run.empty() && on_run_aborted_)
+    on_run_aborted_(aborted_run);
   if (draining_ && executions_.empty() && on_drained_)
     std::exchange(on_drained_, nullptr)();
 }
--- a/node/executor.h
+++ b/node/executor.h
@@ -175,6 +175,13 @@
     on_run_ = std::move(callback);
   }
 
+  // `callback` is told the caller's id of each run that ends without an answer
+  // of its target.
+  void OnRunAborted(
+      std::function<void(const std::string& caller_id)> callback) {
+    on_run_aborted_ = std::move(callback);
+  }
+
   // Returns the run of the request that its caller named `caller_id`, or null.
   const fbs::call_requestT* FindRun(const std::string& caller_id) const;
 
@@ -306,6 +313,7 @@
   std::function<std::vector<fbs::load_levelT>(const fbs::call_requestT&)>
       downstream_loads_;
   std::function<void(const std::string& route, bool starts)> on_run_;
+  std::function<void(const std::string& caller_id)> on_run_aborted_;
   timer_id target_expiry_timer_ = 0;
   reason_counters ended_executions_;
   prometheus::Counter& sent_to_target_;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -172,6 +172,9 @@
   entry_.SetRunLookup([this](const std::string& caller_id) {
     return executor_.FindRun(caller_id);
   });
+  executor_.OnRunAborted([this](const std::string& caller_id) {
+    entry_.CancelCallsOf(caller_id);
+  });
   executor_.SetDownstreamLoads([this](const fbs::call_requestT& call) {
     return entry_.LoadsOfRoutes(
         counted_calls_.has_calls() ? counted_calls_.CalledRoutes(call.route)
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -494,6 +494,37 @@
   CHECK_EQUAL(504, too_long->response->status);
 }
 
+// Load pattern: callers give up while the calls of their requests wait at a
+// slow service. Guards against calls that start, or run on, for a caller that
+// has left, because the target in between notices late.
+TEST(hosted_node, CancelsTheCallsOfACallerThatLeft) {
+  hosted_fleet platform_fleet{kMachines, 1, &PlatformDialect()};
+  platform_fleet.Publish("1 1000 k1 k2");
+  platform_fleet.Advance(seconds(6));
+  for (size_t machine = 0; machine < kMachines; ++machine)
+    platform_fleet.targets().SlowDown(platform_fleet.target_address(machine),
+                                      50, seconds(10));
+  const auto running_deep_calls = [&] {
+    int running = 0;
+    for (const size_t machine : {1U, 3U, 5U})
+      running += platform_fleet.targets().running_calls(
+          platform_fleet.target_address(machine));
+    return running;
+  };
+  const auto parent = platform_fleet.Send(0, "/safe/x", "k1", "a1");
+  const auto other = platform_fleet.Send(0, "/safe/x", "k1", "a2");
+  platform_fleet.Advance(milliseconds(50));
+  const auto call = platform_fleet.Send(0, "/inner/x", "", "a1.b1");
+  platform_fleet.Send(0, "/inner/x", "", "a2.b1");
+  platform_fleet.Advance(milliseconds(50));
+  CHECK_EQUAL(2, running_deep_calls());
+  platform_fleet.node(0).HandleCallerGone(parent->call);
+  platform_fleet.Advance(milliseconds(50));
+  CHECK_EQUAL(1, running_deep_calls());
+  CHECK_EQUAL(504, call->response->status);
+  CHECK_FALSE(other->response.has_value());
+}
+
 // Load pattern: a caller sends a request again and again that crashes each
 // target that runs it. Guards against targets, and the other requests at them,
 // that are lost to it without end.
--- a/testing/hosted_fleet.cc
+++ b/testing/hosted_fleet.cc
@@ -185,10 +185,10 @@
     request.headers.Add("Authorization", "Bearer " + key);
   if (!id.empty())
     request.headers.Add("X-Request-Id", id);
-  node(index).HandleRequest(std::move(request),
-                            [pending](const http_response& response) {
-                              pending->response = response;
-                            });
+  pending->call = node(index).HandleRequest(
+      std::move(request), [pending](const http_response& response) {
+        pending->response = response;
+      });
   return pending;
 }
 
--- a/testing/hosted_fleet.h
+++ b/testing/hosted_fleet.h
@@ -48,6 +48,8 @@
   // The response to a request; nullopt until it arrives.
   struct pending_response {
     std::optional<http_response> response;
+    // For hosted_node::HandleCallerGone.
+    entry_call_id call = 0;
   };
   // Sends a request to the node of machine `index`. `id` is the request id that
   // the caller gives, for dialects that have one.
