Spend retries on requests with few calls left, and prefer returning callers

Change: a service whose runs make no calls gets retries up to 0.8 of the ratio in the settings, from a budget that prefers requests with few calls left and of high priority.

--- a/decisions/admission_controller.cc
+++ b/decisions/admission_controller.cc
@@ -78,10 +78,9 @@
   const double seconds = Seconds(elapsed);
   // After a pause the old averages are no longer meaningful.
   const double weight = elapsed > kMaxReportAge ? 1.0 : 0.5;
-  for (size_t priority = 0; priority < kPriorityLevels; ++priority) {
-    state.demand_rate[priority] +=
-        weight *
-        (state.arrivals[priority] / seconds - state.demand_rate[priority]);
+  for (size_t level = 0; level < kLevels; ++level) {
+    state.demand_rate[level] +=
+        weight * (state.arrivals[level] / seconds - state.demand_rate[level]);
   }
   state.passed_rate += weight * (state.passed / seconds - state.passed_rate);
   state.arrivals.fill(0);
@@ -118,17 +117,17 @@
 }
 
 double admission_controller::PassProbability(const service_state& state,
-                                             size_t priority) {
+                                             size_t level) {
   if (!state.allowed_rate)
     return 1.0;
   double remaining_rate = *state.allowed_rate;
-  for (size_t higher = kPriorityLevels; --higher > priority;)
+  for (size_t higher = kLevels; --higher > level;)
     remaining_rate -= state.demand_rate[higher];
   if (remaining_rate <= 0)
     return 0.0;
-  return state.demand_rate[priority] <= remaining_rate
+  return state.demand_rate[level] <= remaining_rate
              ? 1.0
-             : remaining_rate / state.demand_rate[priority];
+             : remaining_rate / state.demand_rate[level];
 }
 
 bool admission_controller::MayProbe(const service_state& state,
@@ -137,20 +136,20 @@
          now - state.last_probe_at >= kProbeInterval;
 }
 
-bool admission_controller::LowerPriorityPassed(const service_state& state,
-                                               size_t priority,
-                                               time_point now) {
-  for (size_t lower = 0; lower < priority; ++lower) {
+bool admission_controller::LowerLevelPassed(const service_state& state,
+                                            size_t level,
+                                            time_point now) {
+  for (size_t lower = 0; lower < level; ++lower) {
     if (now - state.last_passed[lower] < kPriorityHold)
       return true;
   }
   return false;
 }
 
-bool admission_controller::HigherPriorityRefused(const service_state& state,
-                                                 size_t priority,
-                                                 time_point now) {
-  for (size_t higher = priority + 1; higher < kPriorityLevels; ++higher) {
+bool admission_controller::HigherLevelRefused(const service_state& state,
+                                              size_t level,
+                                              time_point now) {
+  for (size_t higher = level + 1; higher < kLevels; ++higher) {
     if (now - state.last_refused[higher] < kPriorityHold)
       return true;
   }
@@ -163,10 +162,12 @@
     priority_class priority,
     bool admitted,
     time_point now,
-    random_source& random) {
+    random_source& random,
+    bool returning) {
   if (admitted && !options_.check_admitted)
     return std::nullopt;
-  const auto index = static_cast<size_t>(priority);
+  const size_t level =
+      static_cast<size_t>(priority) * 2 + (returning ? 1U : 0U);
   std::vector<service_state*> chain = {&services_[service]};
   for (const std::string& name : downstream) {
     service_state& state = services_[name];
@@ -182,7 +183,7 @@
   service_state* refusing_service = nullptr;
   for (service_state* state : chain) {
     UpdateRate(*state, now);
-    ++state->arrivals[index];
+    ++state->arrivals[level];
     if (now - state->reported_at >= kMaxReportAge)
       continue;
     bool refuse = false;
@@ -192,11 +193,11 @@
       refuse =
           state->load_permille > kMaxAdmittedLoadPermille &&
           random_fraction >= kMaxAdmittedLoadPermille / state->load_permille;
-    } else if (HigherPriorityRefused(*state, index, now)) {
+    } else if (HigherLevelRefused(*state, level, now)) {
       refuse = true;
-    } else if (random_fraction >= PassProbability(*state, index) &&
+    } else if (random_fraction >= PassProbability(*state, level) &&
                (!IsCriticalRoute(priority) ||
-                !LowerPriorityPassed(*state, index, now))) {
+                !LowerLevelPassed(*state, level, now))) {
       refuse = !MayProbe(*state, now);
       if (!refuse)
         state->last_probe_at = now;
@@ -205,13 +206,13 @@
       refusing_service = state;
   }
   if (refusing_service != nullptr) {
-    refusing_service->last_refused[index] = now;
+    refusing_service->last_refused[level] = now;
     return reason::kOverloaded;
   }
   for (service_state* state : chain) {
     ++state->passed;
     if (!admitted && !within_min_share)
-      state->last_passed[index] = now;
+      state->last_passed[level] = now;
   }
   return std::nullopt;
 }
--- a/decisions/admission_controller.h
+++ b/decisions/admission_controller.h
@@ -70,13 +70,16 @@
 
   // Returns why a request to `service`, which calls the services in
   // `downstream`, is refused, or nothing when it passes. A request that passes
-  // counts against the rate of each of these services.
+  // counts against the rate of each of these services. `returning`: its caller
+  // was refused before and has come back as told. Such a request goes before
+  // others of the same priority.
   std::optional<reason> Check(const std::string& service,
                               const std::vector<std::string>& downstream,
                               priority_class priority,
                               bool admitted,
                               time_point now,
-                              random_source& random);
+                              random_source& random,
+                              bool returning = false);
 
   // Returns the current load of `service` in permille, to be reported in
   // answers; nothing without a recent report.
@@ -84,6 +87,10 @@
                                          time_point now) const;
 
  private:
+  // Levels in which requests pass: by priority, and returning requests before
+  // new ones of the same priority.
+  static constexpr size_t kLevels = kPriorityLevels * 2;
+
   struct service_state {
     // Exponentially weighted average of the reports.
     double load_permille = 0;
@@ -92,29 +99,29 @@
     bool is_downstream = false;
     // Calls per second; nothing while the service is not limited.
     std::optional<double> allowed_rate;
-    // Arrivals by priority, and passed calls, in the current interval.
-    std::array<int, kPriorityLevels> arrivals{};
+    // Arrivals by level, and passed calls, in the current interval.
+    std::array<int, kLevels> arrivals{};
     int passed = 0;
     // Calls per second, averaged over several intervals.
-    std::array<double, kPriorityLevels> demand_rate{};
+    std::array<double, kLevels> demand_rate{};
     double passed_rate = 0;
     time_point interval_start;
     time_point last_probe_at;
-    // When a new call of each priority was last refused and last passed.
-    std::array<time_point, kPriorityLevels> last_refused;
-    std::array<time_point, kPriorityLevels> last_passed;
+    // When a new call of each level was last refused and last passed.
+    std::array<time_point, kLevels> last_refused;
+    std::array<time_point, kLevels> last_passed;
   };
 
   void UpdateRate(service_state& state, time_point now) const;
-  // Probability that a new call of this priority passes.
-  static double PassProbability(const service_state& state, size_t priority);
+  // Probability that a new call of this level passes.
+  static double PassProbability(const service_state& state, size_t level);
   static bool MayProbe(const service_state& state, time_point now);
-  static bool LowerPriorityPassed(const service_state& state,
-                                  size_t priority,
-                                  time_point now);
-  static bool HigherPriorityRefused(const service_state& state,
-                                    size_t priority,
-                                    time_point now);
+  static bool LowerLevelPassed(const service_state& state,
+                               size_t level,
+                               time_point now);
+  static bool HigherLevelRefused(const service_state& state,
+                                 size_t level,
+                                 time_point now);
 
   admission_options options_;
   std::map<std::string, service_state> services_;
--- a/decisions/admission_controller_test.cc
+++ b/decisions/admission_controller_test.cc
@@ -167,5 +167,44 @@
   CHECK_TRUE(share_after(0.5) < share_after(0.7) * 0.8);
 }
 
+// Load pattern: a service has room for two thirds of its requests, and callers
+// come back as they were told. Guards against refusing a caller twice while new
+// callers of the same priority pass, and against returning callers that go
+// before more important ones.
+TEST(admission, ReturningCallersGoBeforeNewOnes) {
+  constexpr auto kStep = std::chrono::microseconds(1'000'000 / 600);
+  constexpr double kServedPerStep = 2;
+  constexpr double kPermillePerWaitingCall = 20;
+  const struct {
+    priority_class priority;
+    bool returning;
+  } requests[] = {{priority_class::kBrowse, false},
+                  {priority_class::kBrowse, true},
+                  {priority_class::kCritical, false}};
+  std::array<int, 3> passed{};
+  int offered = 0;
+  double waiting = 0;
+  for (const time_point start = now; now < start + std::chrono::seconds(6);
+       now += kStep) {
+    const bool counts = now >= start + std::chrono::seconds(2);
+    offered += counts ? 1 : 0;
+    for (size_t i = 0; i < std::size(requests); ++i) {
+      if (controller.Check("calendar", {}, requests[i].priority, false, now,
+                           random, requests[i].returning))
+        continue;
+      passed[i] += counts ? 1 : 0;
+      waiting += 1;
+    }
+    waiting = std::max(0.0, waiting - kServedPerStep);
+    controller.OnLoadReport(
+        "calendar",
+        static_cast<uint32_t>(1000 + waiting * kPermillePerWaitingCall), now);
+  }
+  CHECK_TRUE(passed[2] > offered * 0.9);
+  // An even split would be half each.
+  CHECK_TRUE(passed[1] > offered / 2);
+  CHECK_TRUE(passed[0] < passed[1] / 2);
+}
+
 }  // namespace
 }  // namespace skylarkhoist
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -24,6 +24,11 @@
 
 constexpr int kMinServerErrorStatus = 500;
 
+// A service counts as one whose runs make no calls after this many answers
+// without a downstream service, and not within this time of one with one.
+constexpr int kMinLeafAnswers = 100;
+constexpr duration kMinLeafTime = std::chrono::minutes(1);
+
 // Weight of one call in the moving average of its target's failure rate, and
 // the time constant with which the rate decays without new calls.
 constexpr double kFailureRateWeight = 0.1;
@@ -77,6 +82,9 @@
       retries_by_reason_(counters,
                          "skylarkhoist_retries_total",
                          "Retries by the refusal that caused them"),
+      returning_requests_(counters->Counter(
+          "skylarkhoist_returning_requests_total",
+          "Requests that were admitted after an earlier refusal")),
       late_answers_(
           counters->Counter("skylarkhoist_late_answers_total",
                             "Answers that match no open call; dropped")),
@@ -205,6 +213,8 @@
   call->has_local_parent = parent != nullptr;
   if (parent != nullptr) {
     call->priority = PriorityFromWire(parent->priority_class);
+    call->parent_route = parent->route;
+    call->parent_is_repeat = parent->repeat;
     calls_by_parent_.emplace(call->metadata.parent_id, call->call_id);
   }
   if (on_local_call_)
@@ -374,13 +384,20 @@
     FinishError(call, reason::kNoTarget, fbs::ran_state::kNo);
     return;
   }
-  const auto refused =
-      admission_.Check(call->service, DownstreamServicesOf(*call),
-                       call->priority, call->admitted, loop_->Now(), *random_);
+  const time_point now = loop_->Now();
+  const bool returning =
+      !call->admitted && returning_callers_.IsReturning(call->fingerprint, now);
+  const auto refused = admission_.Check(
+      call->service, DownstreamServicesOf(*call), call->priority,
+      call->admitted, now, *random_, returning);
   if (refused) {
     FinishError(call, *refused, fbs::ran_state::kNo);
     return;
   }
+  if (returning) {
+    returning_callers_.OnAdmitted(call->fingerprint);
+    returning_requests_.Increment();
+  }
   ClaimIdempotencyKey(call_id);
 }
 
@@ -540,6 +557,45 @@
       .first->second;
 }
 
+chain_retry_budget& entry::LeafRetryBudgetOf(const std::string& service) {
+  return leaf_retry_budgets_.try_emplace(service, options_.leaf_retry_share)
+      .first->second;
+}
+
+void entry::RecordFirstAttempt(const open_call& call) {
+  const time_point now = loop_->Now();
+  RetryBudgetOf(call.service).OnFirstAttempt(now);
+  if (options_.leaf_retry_share <= 0)
+    return;
+  if (call.parent_is_repeat)
+    LeafRetryBudgetOf(call.service).OnInheritedRepeat(now);
+  else
+    LeafRetryBudgetOf(call.service).OnFirstAttempt(now);
+}
+
+bool entry::IsLeaf(const std::string& service) const {
+  const auto found = leaf_evidence_.find(service);
+  return found != leaf_evidence_.end() &&
+         found->second.answers >= kMinLeafAnswers &&
+         (found->second.called_at == time_point() ||
+          loop_->Now() - found->second.called_at >= kMinLeafTime);
+}
+
+void entry::LearnLeaf(const std::string& service,
+                      const fbs::call_answerT& answer) {
+  leaf_evidence& evidence = leaf_evidence_[service];
+  const bool names_downstream = std::any_of(
+      answer.loads.begin(), answer.loads.end(), [&](const auto& level) {
+        return level != nullptr && level->service != service;
+      });
+  if (names_downstream) {
+    evidence.answers = 0;
+    evidence.called_at = loop_->Now();
+  } else if (answer.outcome == fbs::outcome::kAnswered) {
+    evidence.answers = std::min(evidence.answers + 1, kMinLeafAnswers);
+  }
+}
+
 uint64_t entry::NextAttemptSequence() {
   const uint64_t sequence = next_sequence_++;
   return options_.faults.reuse_sequence ? sequence / 4 : sequence;
@@ -548,7 +604,7 @@
 void entry::SendAttempt(open_call* call, const route_candidate& target) {
   const time_point now = loop_->Now();
   if (call->tried_nodes.empty())
-    RetryBudgetOf(call->service).OnFirstAttempt(now);
+    RecordFirstAttempt(*call);
   attempt current_attempt;
   current_attempt.id = {options_.incarnation, NextAttemptSequence()};
   current_attempt.address = target.node_address;
@@ -584,6 +640,9 @@
     message.target_left_ms = static_cast<uint32_t>(
         std::max<int64_t>(0, ToMilliseconds(call->soft_deadline - now)));
 
+  message.repeat =
+      call->parent_is_repeat || call->lost_runs > 0 || call->shed_attempts > 0;
+
   const auto remembered = remembered_targets_.find(target.node_address);
   if (remembered != remembered_targets_.end())
     message.target =
@@ -635,6 +694,8 @@
   call->credit = std::min<int>(call->credit, answer.credit_left);
   RememberTarget(*call->current_attempt, answer);
   LearnDownstreamServices(*call, answer);
+  if (options_.leaf_retry_share > 0)
+    LearnLeaf(call->service, answer);
   if (answer.outcome != fbs::outcome::kRefused)
     UpdateFailureRate(*call->current_attempt,
                       answer.outcome != fbs::outcome::kAnswered ||
@@ -768,19 +829,30 @@
       (call->max_attempts > 0 &&
        call->lost_runs + call->shed_attempts >= call->max_attempts))
     return false;
-  if (!NeedsNoBudget(*call, why)) {
-    const time_point now = loop_->Now();
-    const auto level = admission_.LoadPermilleOf(call->service, now);
-    retry_budget& budget = RetryBudgetOf(call->service);
-    budget.SetOverloaded(level &&
-                         *level >= admission_controller::kTargetLoadPermille);
-    if (!budget.TakeRetry(now))
-      return false;
-  }
+  if (!NeedsNoBudget(*call, why) && !TakeRetryFromBudget(*call))
+    return false;
   --call->credit;
   return true;
 }
 
+bool entry::TakeRetryFromBudget(const open_call& call) {
+  const time_point now = loop_->Now();
+  const auto level = admission_.LoadPermilleOf(call.service, now);
+  const bool overloaded =
+      level && *level >= admission_controller::kTargetLoadPermille;
+  if (options_.leaf_retry_share > 0 && IsLeaf(call.service)) {
+    retry_value value;
+    value.priority = call.priority;
+    if (call.has_local_parent)
+      value.calls_left = run_progress_.CallsLeft(call.metadata.parent_id,
+                                                 call.parent_route, call.route);
+    return !overloaded && LeafRetryBudgetOf(call.service).TakeRetry(value, now);
+  }
+  retry_budget& budget = RetryBudgetOf(call.service);
+  budget.SetOverloaded(overloaded);
+  return budget.TakeRetry(now);
+}
+
 bool entry::NeedsNoBudget(const open_call& call, reason why) {
   switch (why) {
     case reason::kNoTarget:
@@ -823,8 +895,12 @@
                                            : fbs::outcome::kFailed,
                 nullptr);
   ended_requests_.Increment(why);
+  const duration retry_after = ComputeRetryAfter(*call, why);
+  if (ran == fbs::ran_state::kNo && InfoOf(why).retry_after && !call->admitted)
+    returning_callers_.OnRefused(call->fingerprint, loop_->Now() + retry_after,
+                                 loop_->Now());
   const http_response response = options_.dialect->BuildErrorResponse(
-      call->id, call->metadata, why, ran, ComputeRetryAfter(*call, why));
+      call->id, call->metadata, why, ran, retry_after);
   LogRequestEnd(*call, why, ToText(ran), response.status);
   Finish(call, response);
 }
@@ -888,8 +964,12 @@
       child_call_observer_->OnChildCallEnd(parent->parent,
                                            response.status >= 500);
   }
-  if (call->has_local_parent)
+  if (call->has_local_parent) {
     ForgetParent(*call);
+    if (response.status < kMinServerErrorStatus &&
+        find_run_(call->metadata.parent_id) != nullptr)
+      run_progress_.OnCallSucceeded(call->metadata.parent_id, call->route);
+  }
   const auto found = calls_.find(call->call_id);
   const std::unique_ptr<open_call> ended = std::move(found->second);
   calls_.erase(found);
@@ -909,6 +989,12 @@
     calls_by_parent_.erase(found);
 }
 
+void entry::OnLocalRunEnded(const ended_run& run) {
+  run_progress_.OnRunEnded(run.caller_id, run.route, run.succeeded);
+  if (!run.answered)
+    CancelCallsOf(run.caller_id);
+}
+
 void entry::CancelCallsOf(const std::string& parent_id) {
   const auto [first, last] = calls_by_parent_.equal_range(parent_id);
   std::vector<entry_call_id> calls;
--- a/node/entry.h
+++ b/node/entry.h
@@ -11,10 +11,13 @@
 #include <vector>
 
 #include "decisions/admission_controller.h"
+#include "decisions/chain_retry_budget.h"
 #include "decisions/config_view.h"
 #include "decisions/context_tokens.h"
 #include "decisions/retry_budget.h"
+#include "decisions/returning_callers.h"
 #include "decisions/routing_policy.h"
+#include "decisions/run_progress.h"
 #include "decisions/weighted_round_robin.h"
 #include "kernel/loop.h"
 #include "kernel/random.h"
@@ -77,6 +80,10 @@
   admission_options admission;
   // Maximum retries to a service as a share of its first attempts.
   double retry_share = 0.1;
+  // The same for services whose runs make no calls (see chain_retry_budget). A
+  // repeat of such a run repeats nothing else. 0: `retry_share` holds for them
+  // too.
+  double leaf_retry_share = 0;
   // Requests from callers are refused while more calls than this are open; this
   // bounds the memory that slow services can take here. Child calls are never
   // refused for it, since they belong to admitted requests.
@@ -99,6 +106,16 @@
   virtual void OnChildCallEnd(const request_id& parent, bool failed) = 0;
 };
 
+// The end of a run at a local target.
+struct ended_run {
+  // Id that the caller gave the request.
+  std::string caller_id;
+  std::string route;
+  // The target has answered, and without a server error.
+  bool answered = false;
+  bool succeeded = false;
+};
+
 // Identifies an open request at its entry node.
 using entry_call_id = uint64_t;
 
@@ -150,11 +167,11 @@
   // more.
   void HandleCallerGone(entry_call_id id);
 
-  // Cancels the open calls of a run at the local target that ended without an
-  // answer. `parent_id` is the id that the caller of the run gave it. Does not
-  // wait for the target to close the connections of these calls: the target may
-  // be slow to notice, and a call that starts meanwhile is wasted work.
-  void CancelCallsOf(const std::string& parent_id);
+  // A run at the local target has ended. If there is no answer of the target,
+  // cancels the calls that the run has open, without waiting for the target to
+  // close their connections: the target may be slow to notice, and a call that
+  // starts meanwhile is wasted work.
+  void OnLocalRunEnded(const ended_run& run);
 
   void HandleAnswer(const peer_info& from, const fbs::call_answerT& answer);
   void HandleState(const peer_info& from, const fbs::call_stateT& state);
@@ -245,6 +262,10 @@
     // Set for calls that a run in progress at the local target makes. Other
     // calls of a target cannot be told from requests on open routes.
     bool has_local_parent = false;
+    // Route of that run.
+    std::string parent_route;
+    // The run that makes the call is a repeat itself.
+    bool parent_is_repeat = false;
     bool has_rate_token = false;
     bool repeatable = true;
     // Set while this request holds the claim on its idempotency key, which is
@@ -289,6 +310,13 @@
     double rate = 0;
     time_point updated_at;
   };
+  // What answers show about the calls that the runs of a service make.
+  struct leaf_evidence {
+    // Answers without a downstream service since the last one with one.
+    int answers = 0;
+    // When an answer last named a downstream service.
+    time_point called_at;
+  };
   struct load_report {
     uint32_t permille = 0;
     time_point received_at;
@@ -339,6 +367,13 @@
   double FailureRate(const std::string& address,
                      const std::string& service) const;
   retry_budget& RetryBudgetOf(const std::string& service);
+  chain_retry_budget& LeafRetryBudgetOf(const std::string& service);
+  // Whether the runs of the service make no calls, as far as answers show.
+  bool IsLeaf(const std::string& service) const;
+  void LearnLeaf(const std::string& service, const fbs::call_answerT& answer);
+  void RecordFirstAttempt(const open_call& call);
+  bool TakeRetryFromBudget(const open_call& call);
+  void CancelCallsOf(const std::string& parent_id);
   duration ComputeRetryAfter(const open_call& call, reason why);
   void LogRequestEnd(const open_call& ended,
                      reason why,
@@ -369,6 +404,10 @@
   admission_controller admission_;
   std::unique_ptr<routing_policy> routing_;
   std::map<std::string, retry_budget> retry_budgets_;
+  std::map<std::string, chain_retry_budget> leaf_retry_budgets_;
+  std::map<std::string, leaf_evidence> leaf_evidence_;
+  run_progress run_progress_;
+  returning_callers returning_callers_;
   // By route.
   std::map<std::string, weighted_round_robin> traffic_splits_;
   uint64_t next_sequence_ = 1;
@@ -397,6 +436,7 @@
   std::function<void()> on_drained_;
   reason_counters ended_requests_;
   reason_counters retries_by_reason_;
+  prometheus::Counter& returning_requests_;
   prometheus::Counter& late_answers_;
   prometheus::Counter& damaged_answers_;
   prometheus::Histogram& request_latency_;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -62,6 +62,8 @@
 // The losses of a crash are noticed within this time.
 constexpr duration kCrashReportDelay = std::chrono::milliseconds(100);
 
+constexpr int kMinServerErrorStatus = 500;
+
 // Rate limit on one node's log lines about ended executions.
 constexpr double kLoggedExecutionsPerSecond = 50;
 
@@ -1004,17 +1006,19 @@
   ended_executions_.Increment(ReasonFromWire(answer.reason));
   LogExecutionEnd(execution, answer);
   const std::string origin = execution.origin.address;
-  const std::string aborted_run =
-      execution.running && answer.outcome != fbs::outcome::kAnswered
-          ? execution.caller_id
-          : std::string();
+  ended_run run_end;
+  if (execution.running)
+    run_end.caller_id = execution.caller_id;
+  run_end.route = execution.call.route;
+  run_end.answered = answer.outcome == fbs::outcome::kAnswered;
+  run_end.succeeded = run_end.answered && answer.status < kMinServerErrorStatus;
   executions_.erase(found);
   const size_t bytes = answer.body.size() + kAnswerOverheadBytes;
   auto stored = std::make_shared<const fbs::call_answerT>(std::move(answer));
   answers_.Finish(id, stored, bytes, loop_->Now());
   transport_->Send(origin, MakeEnvelope(fbs::call_answerT(*stored)));
-  if (!aborted_run.empty() && on_run_aborted_)
-    on_run_aborted_(aborted_run);
+  if (!run_end.caller_id.empty() && on_run_ended_)
+    on_run_ended_(run_end);
   if (draining_ && executions_.empty() && on_drained_)
     std::exchange(on_drained_, nullptr)();
 }
--- a/node/executor.h
+++ b/node/executor.h
@@ -175,11 +175,9 @@
     on_run_ = std::move(callback);
   }
 
-  // `callback` is told the caller's id of each run that ends without an answer
-  // of its target.
-  void OnRunAborted(
-      std::function<void(const std::string& caller_id)> callback) {
-    on_run_aborted_ = std::move(callback);
+  // `callback` is told the end of each run whose caller named it.
+  void OnRunEnded(std::function<void(const ended_run& run)> callback) {
+    on_run_ended_ = std::move(callback);
   }
 
   // Returns the run of the request that its caller named `caller_id`, or null.
@@ -313,7 +311,7 @@
   std::function<std::vector<fbs::load_levelT>(const fbs::call_requestT&)>
       downstream_loads_;
   std::function<void(const std::string& route, bool starts)> on_run_;
-  std::function<void(const std::string& caller_id)> on_run_aborted_;
+  std::function<void(const ended_run& run)> on_run_ended_;
   timer_id target_expiry_timer_ = 0;
   reason_counters ended_executions_;
   prometheus::Counter& sent_to_target_;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -19,6 +19,10 @@
 // total stays below the allowed 20%.
 constexpr double kMaxRetryShare = 0.04;
 
+// Part of the allowed ratio of retries that a service gets whose runs make no
+// calls. The rest covers the unused retries that its nodes have saved up.
+constexpr double kLeafRetryRatioShare = 0.8;
+
 // Share of the requests of each priority class that is admitted even under
 // overload. Users require for each class at least a quarter of the share that
 // all classes together get.
@@ -80,6 +84,7 @@
   result.keyless_requests_are_child_calls = true;
   result.retry_lost_runs = true;
   result.retry_share = kMaxRetryShare;
+  result.leaf_retry_share = options.retry_ratio * kLeafRetryRatioShare;
   result.admission.min_class_share = kMinAdmittedShare;
   result.admission.check_admitted = false;
   result.admission.min_decrease_factor = kMinRateFactorPerStep;
@@ -172,9 +177,8 @@
   entry_.SetRunLookup([this](const std::string& caller_id) {
     return executor_.FindRun(caller_id);
   });
-  executor_.OnRunAborted([this](const std::string& caller_id) {
-    entry_.CancelCallsOf(caller_id);
-  });
+  executor_.OnRunEnded(
+      [this](const ended_run& run) { entry_.OnLocalRunEnded(run); });
   executor_.SetDownstreamLoads([this](const fbs::call_requestT& call) {
     return entry_.LoadsOfRoutes(
         counted_calls_.has_calls() ? counted_calls_.CalledRoutes(call.route)
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -38,6 +38,9 @@
   // Random number that identifies this run of the process.
   uint64_t incarnation = 0;
   const request_dialect* dialect = &SkylarkDialect();
+  // Repeats that a service may get as a share of its requests, from all nodes
+  // together; 0 when no ratio is set.
+  double retry_ratio = 0;
   // A local target whose last announcement is older than this is out of
   // service.
   duration announcement_timeout = std::chrono::seconds(6);
--- a/node/hosted_settings.cc
+++ b/node/hosted_settings.cc
@@ -50,6 +50,8 @@
         "x-must": "a whole number from 0 to 1073741824"}
     }
   },
+  "retry_ratio": {"type": "number", "minimum": 0, "maximum": 1,
+    "x-must": "a ratio from 0 to 1"},
   "announcement_interval_ms": {"type": "number", "minimum": 100, "maximum": 60000,
     "x-must": "milliseconds from 100 to 60000"},
   "stop_grace_s": {"type": "number", "minimum": 0.5, "maximum": 600,
@@ -116,6 +118,7 @@
   }
   using milliseconds = std::chrono::duration<double, std::milli>;
   using seconds = std::chrono::duration<double>;
+  result.retry_ratio = value->value("retry_ratio", result.retry_ratio);
   if (value->contains("announcement_interval_ms"))
     result.announcement_interval = std::chrono::duration_cast<duration>(
         milliseconds(value->at("announcement_interval_ms").get<double>()));
--- a/node/hosted_settings.h
+++ b/node/hosted_settings.h
@@ -36,6 +36,11 @@
   size_t max_header_bytes = size_t{64} << 10;
   size_t max_body_bytes = size_t{64} << 20;
 
+  // Repeats that a service may get as a share of its requests, from all nodes
+  // together; 0 when none is set. Services whose runs make no calls use most of
+  // it; the others make few retries in any case.
+  double retry_ratio = 0;
+
   // Time between two announcements of the target.
   duration announcement_interval = std::chrono::milliseconds(1500);
   // Time after the stop signal at which the process ends even if requests are
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -1879,6 +1879,7 @@
   std::string route{};
   uint32_t target_left_ms = 0;
   std::unique_ptr<skylarkhoist::fbs::target_reportT> target{};
+  bool repeat = false;
   call_requestT() = default;
   call_requestT(const call_requestT &o);
   call_requestT(call_requestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1910,7 +1911,8 @@
     VT_CALLER_SERVICE = 38,
     VT_ROUTE = 40,
     VT_TARGET_LEFT_MS = 42,
-    VT_TARGET = 44
+    VT_TARGET = 44,
+    VT_REPEAT = 46
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -1975,6 +1977,9 @@
   const skylarkhoist::fbs::target_report *target() const {
     return GetPointer<const skylarkhoist::fbs::target_report *>(VT_TARGET);
   }
+  bool repeat() const {
+    return GetField<uint8_t>(VT_REPEAT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -2009,6 +2014,7 @@
            VerifyField<uint32_t>(verifier, VT_TARGET_LEFT_MS, 4) &&
            VerifyOffset(verifier, VT_TARGET) &&
            verifier.VerifyTable(target()) &&
+           VerifyField<uint8_t>(verifier, VT_REPEAT, 1) &&
            verifier.EndTable();
   }
   call_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2083,6 +2089,9 @@
   void add_target(flatbuffers::Offset<skylarkhoist::fbs::target_report> target) {
     fbb_.AddOffset(call_request::VT_TARGET, target);
   }
+  void add_repeat(bool repeat) {
+    fbb_.AddElement<uint8_t>(call_request::VT_REPEAT, static_cast<uint8_t>(repeat), 0);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2116,7 +2125,8 @@
     flatbuffers::Offset<flatbuffers::String> caller_service = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
     uint32_t target_left_ms = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0,
+    bool repeat = false) {
   call_requestBuilder builder_(_fbb);
   builder_.add_body_checksum(body_checksum);
   builder_.add_fingerprint(fingerprint);
@@ -2134,6 +2144,7 @@
   builder_.add_customer(customer);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_repeat(repeat);
   builder_.add_depth(depth);
   builder_.add_credit(credit);
   builder_.add_repeatable(repeatable);
@@ -2169,7 +2180,8 @@
     const char *caller_service = nullptr,
     const char *route = nullptr,
     uint32_t target_left_ms = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0,
+    bool repeat = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto key_id__ = key_id ? _fbb.CreateString(key_id) : 0;
@@ -2201,7 +2213,8 @@
       caller_service__,
       route__,
       target_left_ms,
-      target);
+      target,
+      repeat);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7002,7 +7015,8 @@
       (lhs.caller_service == rhs.caller_service) &&
       (lhs.route == rhs.route) &&
       (lhs.target_left_ms == rhs.target_left_ms) &&
-      ((lhs.target == rhs.target) || (lhs.target && rhs.target && *lhs.target == *rhs.target));
+      ((lhs.target == rhs.target) || (lhs.target && rhs.target && *lhs.target == *rhs.target)) &&
+      (lhs.repeat == rhs.repeat);
 }
 
 inline bool operator!=(const call_requestT &lhs, const call_requestT &rhs) {
@@ -7030,7 +7044,8 @@
         caller_service(o.caller_service),
         route(o.route),
         target_left_ms(o.target_left_ms),
-        target((o.target) ? new skylarkhoist::fbs::target_reportT(*o.target) : nullptr) {
+        target((o.target) ? new skylarkhoist::fbs::target_reportT(*o.target) : nullptr),
+        repeat(o.repeat) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new skylarkhoist::fbs::headerT(*headers_) : nullptr); }
 }
@@ -7057,6 +7072,7 @@
   std::swap(route, o.route);
   std::swap(target_left_ms, o.target_left_ms);
   std::swap(target, o.target);
+  std::swap(repeat, o.repeat);
   return *this;
 }
 
@@ -7090,6 +7106,7 @@
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = target_left_ms(); _o->target_left_ms = _e; }
   { auto _e = target(); if (_e) _o->target = std::unique_ptr<skylarkhoist::fbs::target_reportT>(_e->UnPack(_resolver)); }
+  { auto _e = repeat(); _o->repeat = _e; }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7121,6 +7138,7 @@
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _target_left_ms = _o->target_left_ms;
   auto _target = _o->target ? Createtarget_report(_fbb, _o->target.get(), _rehasher) : 0;
+  auto _repeat = _o->repeat;
   return skylarkhoist::fbs::Createcall_request(
       _fbb,
       _id,
@@ -7143,7 +7161,8 @@
       _caller_service,
       _route,
       _target_left_ms,
-      _target);
+      _target,
+      _repeat);
 }
 
 
