--- a/testing/measure_random.cc
+++ b/testing/measure_random.cc
@@ -54,6 +54,7 @@
                       make_draw make) {
     std::vector<duration> times(threads);
     std::vector<std::thread> running;
+    running.reserve(threads);
     for (duration& time : times)
       running.emplace_back(
           [&time, &make, count] { time = TimeOf(count, make()); });
