Survive a store that was restored from an older copy

A store that returned from an older copy was never read again: its offsets were below the applied one, and what nodes had written there was gone.

Heartbeats and configuration messages carry the era, and (era, offset) is compared in that order. After a change of era a node reads the newest records again, keeps the version in force, keeps records that the copy lacks for 5 s, and writes its address and departures again. memory_store and store_stand_in can go back to a copy; the soak run does so.

--- a/node/departure_log.cc
+++ b/node/departure_log.cc
@@ -63,6 +63,13 @@
   Write();
 }
 
+void departure_log::OnEraChange() {
+  if (value_.empty())
+    return;
+  ++version_;
+  Write();
+}
+
 void departure_log::Write() {
   if (!loaded_ || write_pending_)
     return;
@@ -120,8 +127,11 @@
     const std::vector<keyed_record>& records) {
   loaded_ = true;
   for (const keyed_record& record : records) {
-    if (record.key == key_ && record.value)
+    if (record.key == key_ && record.value) {
+      if (value_.empty())
+        value_ = *record.value;
       return Decode(*record.value);
+    }
   }
   return {};
 }
--- a/node/departure_log.h
+++ b/node/departure_log.h
@@ -36,6 +36,10 @@
   // or with false if that takes too long for a target that waits.
   void WhenStored(std::function<void(bool stored)> done);
 
+  // To be called when the store was restored from an older copy, which may lack
+  // what this object has stored. Writes it again.
+  void OnEraChange();
+
   // Returns what an earlier run of this process has stored, or nothing if
   // `records`, the newest records of all nodes, don't have it. What it returns
   // has to be part of all later calls of Store.
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -95,11 +95,12 @@
     : options_(std::move(options)),
       parts_(parts),
       transport_(parts.run_loop, parts.transport, SelfInfo(options_)),
+      store_(parts.store, parts.counters),
       directory_(parts.run_loop,
-                 parts.store,
+                 &store_,
                  &transport_,
                  DirectoryOptions(options_)),
-      departure_log_(parts.run_loop, parts.store, options_.name),
+      departure_log_(parts.run_loop, &store_, options_.name),
       executor_(parts.run_loop,
                 &transport_,
                 parts.targets,
@@ -114,7 +115,7 @@
              EntryOptions(options_),
              parts.counters),
       config_(parts.run_loop,
-              parts.store,
+              &store_,
               &transport_,
               options_.zone,
               parts.record_reader,
@@ -136,6 +137,7 @@
     executor_.SetConfig(config_.view());
     tokens_.SetConfig(config_.view());
   });
+  store_.OnChange([this] { OnEraChange(); });
   config_.OnNewRecords([this] { BroadcastOffset(); });
   config_.OnStoreChange([this](bool lost) {
     directory_.SetStoreLost(options_.peer_address, lost);
@@ -301,7 +303,19 @@
 void hosted_node::HandleHeartbeat(const peer_info& from,
                                   const fbs::heartbeatT& heartbeat) {
   directory_.SetStoreLost(from.address, heartbeat.store_lost);
-  config_.OnPeerOffset(from, heartbeat.applied_offset);
+  const uint64_t previous_era = store_.current();
+  const bool same_era =
+      store_.ObservePeer(heartbeat.store_era, heartbeat.applied_offset);
+  if (store_.current() > previous_era && from.zone != options_.zone)
+    BroadcastOffset();
+  if (same_era)
+    config_.OnPeerOffset(from, heartbeat.applied_offset);
+}
+
+void hosted_node::OnEraChange() {
+  config_.OnEraChange();
+  directory_.OnEraChange();
+  departure_log_.OnEraChange();
 }
 
 void hosted_node::OnLinkUp(const peer_info& peer) {
@@ -311,6 +325,7 @@
   if (peer.address != options_.peer_address) {
     for (fbs::suspectT& suspect : executor_.QuarantinedRequests())
       transport_.Send(peer.address, MakeEnvelope(std::move(suspect)));
+    config_.SendUnconfirmedRecords(peer.address);
   }
 }
 
@@ -323,6 +338,7 @@
   fbs::heartbeatT heartbeat;
   heartbeat.counter = ++heartbeat_counter_;
   heartbeat.applied_offset = config_.applied_offset();
+  heartbeat.store_era = store_.current();
   heartbeat.store_lost = config_.store_lost();
   return heartbeat;
 }
@@ -400,6 +416,7 @@
   status["draining"] = draining_;
   status["config_version"] = config_.version();
   status["config_offset"] = config_.applied_offset();
+  status["store_era"] = store_.current();
   status["store_age_ms"] =
       age == duration::max() ? json(nullptr) : json(ToMilliseconds(age));
   status["has_majority"] = directory_.HasMajority();
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -20,6 +20,7 @@
 #include "node/operator_records.h"
 #include "node/request_dialect.h"
 #include "node/store_config_follower.h"
+#include "node/store_era.h"
 #include "node/token_service.h"
 #include "wire/keyed_store.h"
 #include "wire/peer_transport.h"
@@ -131,6 +132,8 @@
   fbs::heartbeatT MakeHeartbeat() override;
 
   void HandleHeartbeat(const peer_info& from, const fbs::heartbeatT& heartbeat);
+  // The store was restored from a copy that may lack what this node wrote.
+  void OnEraChange();
   void OnMembersChanged();
   // Peer addresses of the other nodes that may have a target of the service.
   std::vector<std::string> PeersServing(const std::string& service) const;
@@ -147,6 +150,7 @@
   hosted_node_options options_;
   hosted_node_dependencies parts_;
   loopback_transport transport_;
+  store_era store_;
   node_directory directory_;
   departure_log departure_log_;
   executor executor_;
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -94,8 +94,9 @@
                        {"zone", options_.zone},
                        {"incarnation", options_.incarnation}};
   store_->Put(store_topic::kNodes, options_.node, record.dump(),
-              [this, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
-                if (alive.expired())
+              [this, call = ++current_call_,
+               alive = std::weak_ptr<bool>(alive_)](const auto& result) {
+                if (alive.expired() || call != current_call_)
                   return;
                 if (result) {
                   retry_delay_ = duration::zero();
@@ -108,13 +109,21 @@
               });
 }
 
+void node_directory::OnEraChange() {
+  if (self_.state == fbs::member_state::kGone)
+    return;
+  loop_->Cancel(step_timer_);
+  step_timer_ = 0;
+  WriteOwnRecord();
+}
+
 void node_directory::ReadNodeRecords() {
-  store_->ReadNewest(
-      store_topic::kNodes,
-      [this, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
-        if (!alive.expired())
-          OnNodeRecords(result);
-      });
+  store_->ReadNewest(store_topic::kNodes,
+                     [this, call = ++current_call_,
+                      alive = std::weak_ptr<bool>(alive_)](const auto& result) {
+                       if (!alive.expired() && call == current_call_)
+                         OnNodeRecords(result);
+                     });
 }
 
 bool node_directory::AddMember(const std::string& address,
@@ -137,7 +146,7 @@
 }
 
 void node_directory::OnNodeRecords(
-    const tl::expected<keyed_batch, store_error>& result) {
+    const tl::expected<keyed_batch, store_failure>& result) {
   if (!result) {
     retry_delay_ = std::clamp(retry_delay_ * 2, kMinRetryDelay, kMaxRetryDelay);
     ScheduleStep(retry_delay_, &node_directory::ReadNodeRecords);
--- a/node/node_directory.h
+++ b/node/node_directory.h
@@ -78,6 +78,10 @@
   // store.
   void Leave(std::function<void()> done);
 
+  // To be called when the store was restored from an older copy, which may lack
+  // the record of this node. Writes it again and reads those of the others.
+  void OnEraChange();
+
   void HandleGossip(const peer_info& from, const fbs::gossipT& gossip);
   void HandleViewRequest(const peer_info& from,
                          const fbs::zone_view_requestT& request) {
@@ -157,7 +161,7 @@
   bool IsKnownDirectly(const member& each) const;
   void WriteOwnRecord();
   void ReadNodeRecords();
-  void OnNodeRecords(const tl::expected<keyed_batch, store_error>& result);
+  void OnNodeRecords(const tl::expected<keyed_batch, store_failure>& result);
   // Returns whether the node was unknown.
   bool AddMember(const std::string& address,
                  const std::string& node,
@@ -201,6 +205,8 @@
   std::function<void()> members_changed_callback_;
   std::function<void(const std::vector<keyed_record>&)> records_callback_;
   duration retry_delay_ = duration::zero();
+  // Number of the last call to the store; results of earlier ones are ignored.
+  uint64_t current_call_ = 0;
   timer_id step_timer_ = 0;
   timer_id reconnect_timer_ = 0;
   timer_id settling_timer_ = 0;
--- a/node/store_config_follower.cc
+++ b/node/store_config_follower.cc
@@ -43,11 +43,57 @@
 // A node that no longer reads may reach the store again after this time.
 constexpr duration kStoreLostMemory = std::chrono::seconds(10);
 
+// Time after a restore of the store for which a record that the restored copy
+// lacks stays in force. Operators write it again within this time.
+constexpr duration kUnconfirmedGrace = std::chrono::seconds(5);
+
+// Returns whether all items of a config_state have the required fields.
+bool DecodeRecords(const std::string& text,
+                   uint64_t era,
+                   std::vector<era_record>* records) {
+  const auto items = ParseJson(text);
+  if (!items || !items->is_array())
+    return false;
+  for (const json& item : *items) {
+    if (!item.is_object() || !item.contains("key") ||
+        !item["key"].is_string() || !item.contains("offset") ||
+        !item["offset"].is_number_unsigned())
+      return false;
+    era_record each;
+    each.record.key = item["key"];
+    each.record.offset = item["offset"];
+    if (item.contains("value") && item["value"].is_string())
+      each.record.value = item["value"].get<std::string>();
+    each.era = era;
+    if (item.contains("era") && item["era"].is_number_unsigned())
+      each.era = item["era"];
+    if (each.era > era)
+      return false;
+    records->push_back(std::move(each));
+  }
+  return true;
+}
+
+// A record has the field "era" only if its era is not that of the message.
+std::string EncodeRecords(const std::vector<era_record>& records,
+                          uint64_t era) {
+  json items = json::array();
+  for (const era_record& each : records) {
+    json item = {{"key", each.record.key}, {"offset", each.record.offset}};
+    if (each.record.value)
+      item["value"] = *each.record.value;
+    if (each.era != era)
+      item["era"] = each.era;
+    items.push_back(std::move(item));
+  }
+  return items.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 }  // namespace
 
 store_config_follower::store_config_follower(
     loop* loop,
-    keyed_store* store,
+    store_era* store,
     peer_transport* transport,
     std::string own_zone,
     const operator_record_reader* reader,
@@ -77,6 +123,7 @@
   loop_->Cancel(read_timer_);
   loop_->Cancel(late_timer_);
   loop_->Cancel(request_timer_);
+  loop_->Cancel(grace_timer_);
 }
 
 void store_config_follower::Start() {
@@ -181,7 +228,7 @@
 
 void store_config_follower::OnRead(
     uint64_t read,
-    const tl::expected<keyed_batch, store_error>& result,
+    const tl::expected<keyed_batch, store_failure>& result,
     bool full_read) {
   --open_reads_;
   const bool superseded = read != current_read_;
@@ -193,39 +240,30 @@
   if (!result) {
     if (superseded)
       return;
-    if (result.error() == store_error::kTrimmed)
+    if (result.error().error == store_error::kTrimmed)
       ReadNewest();
     else
-      ScheduleRetry(result.error());
+      ScheduleRetry(result.error().error);
     return;
   }
   SetStoreAnswered();
   retry_delay_ = duration::zero();
   empty_reads_ = result->records.empty() ? empty_reads_ + 1 : 0;
   keyed_batch batch = *result;
-  if (full_read)
-    AddDeletedKeys(&batch);
+  if (full_read) {
+    for (keyed_record& deleted : records_.DeletedBy(batch))
+      batch.records.push_back(std::move(deleted));
+  }
   const uint64_t previous_offset = applied_offset_;
+  const bool was_complete = is_complete_;
   Apply(batch, full_read ? "store_newest" : "store");
-  if (IsReader() && applied_offset_ > previous_offset && new_records_callback_)
+  if (IsReader() && (applied_offset_ > previous_offset || !was_complete) &&
+      new_records_callback_)
     new_records_callback_();
   if (!superseded)
     ScheduleNextRead();
 }
 
-// A full read does not contain the keys that were deleted since the last read,
-// so this adds a deletion for each known key that is missing from it.
-void store_config_follower::AddDeletedKeys(keyed_batch* batch) const {
-  std::set<std::string> present_keys;
-  for (const keyed_record& record : batch->records)
-    present_keys.insert(record.key);
-  for (const auto& [key, record] : newest_records_) {
-    if (record.value && record.offset < batch->end_offset &&
-        present_keys.count(key) == 0)
-      batch->records.push_back({key, std::nullopt, batch->end_offset - 1});
-  }
-}
-
 void store_config_follower::SetStoreLost(const char* error) {
   if (store_available_) {
     LogWarning("state", "store_lost",
@@ -272,18 +310,104 @@
                                   const char* source) {
   bool changed = false;
   for (const keyed_record& record : batch.records)
-    changed = ApplyRecord(record, source) || changed;
+    changed = ApplyRecord({record, store_->current()}, source) || changed;
   applied_offset_ = std::max(applied_offset_, batch.end_offset);
+  is_complete_ = true;
+  if (changed)
+    RebuildView();
+  if (grace_timer_ == 0)
+    DeleteUnconfirmedRecords();
+}
+
+void store_config_follower::OnEraChange() {
+  applied_offset_ = 0;
+  is_complete_ = false;
+  empty_reads_ = 0;
+  offer_.reset();
+  grace_is_over_ = false;
+  loop_->Cancel(std::exchange(grace_timer_, 0));
+  StartGrace();
+  loop_->Cancel(read_timer_);
+  read_timer_ = 0;
+  ReadNewest();
+}
+
+void store_config_follower::StartGrace() {
+  if (grace_timer_ != 0)
+    return;
+  grace_timer_ = loop_->RunAfter(kUnconfirmedGrace, [this] {
+    grace_timer_ = 0;
+    grace_is_over_ = true;
+    if (is_complete_)
+      DeleteUnconfirmedRecords();
+  });
+}
+
+// A node that has waited for its own grace takes no more unconfirmed records,
+// so that nodes do not prolong the grace for each other.
+void store_config_follower::ApplyUnconfirmed(
+    const std::vector<era_record>& records) {
+  bool changed = false;
+  for (const era_record& each : records) {
+    if (each.era >= store_->current())
+      continue;
+    const auto read = reader_->Read(each.record);
+    const bool is_config =
+        read && std::holds_alternative<configuration_record>(*read);
+    // The version in force may be newer than the one in the store, so its
+    // record does not replace that one.
+    if (is_config || (!grace_is_over_ && records_.Add(each)))
+      changed = TakeEffect(each, "peer_unconfirmed") || changed;
+  }
+  if (changed)
+    RebuildView();
+  if (!grace_is_over_)
+    StartGrace();
+}
+
+void store_config_follower::DeleteUnconfirmedRecords() {
+  bool changed = false;
+  for (const era_record& each : records_.Unconfirmed(store_->current())) {
+    records_.Remove(each.record.key);
+    changed = TakeEffect({{each.record.key, std::nullopt, each.record.offset},
+                          each.era},
+                         "restore") ||
+              changed;
+  }
   if (changed)
     RebuildView();
 }
 
-bool store_config_follower::ApplyRecord(const keyed_record& record,
+std::vector<era_record> store_config_follower::UnconfirmedRecords() const {
+  std::vector<era_record> found = records_.Unconfirmed(store_->current());
+  const bool has_config =
+      std::any_of(found.begin(), found.end(), [this](const era_record& each) {
+        return each.record.key == config_record_.record.key &&
+               each.record.offset == config_record_.record.offset;
+      });
+  if (ready() && config_record_.era < store_->current() && !has_config)
+    found.push_back(config_record_);
+  return found;
+}
+
+void store_config_follower::SendUnconfirmedRecords(const std::string& address) {
+  const std::vector<era_record> records = UnconfirmedRecords();
+  if (records.empty())
+    return;
+  fbs::config_stateT state;
+  state.store_era = store_->current();
+  state.state = EncodeRecords(records, state.store_era);
+  transport_->Send(address, MakeEnvelope(std::move(state)));
+}
+
+bool store_config_follower::ApplyRecord(const era_record& record,
                                         const char* source) {
-  const auto known = newest_records_.find(record.key);
-  if (known != newest_records_.end() && known->second.offset >= record.offset)
-    return false;
-  newest_records_[record.key] = record;
+  return records_.Add(record) && TakeEffect(record, source);
+}
+
+bool store_config_follower::TakeEffect(const era_record& added,
+                                       const char* source) {
+  const keyed_record& record = added.record;
   const auto read = reader_->Read(record);
   if (!read) {
     malformed_records_.Increment();
@@ -306,7 +430,11 @@
     return changed;
   }
   const auto* config = std::get_if<configuration_record>(&*read);
-  if (config == nullptr || config->version <= version_)
+  if (config == nullptr || config->version < version_)
+    return false;
+  if (config->version > version_ || added.era > config_record_.era)
+    config_record_ = added;
+  if (config->version == version_)
     return false;
   version_ = config->version;
   operator_config_ = config->view;
@@ -332,7 +460,8 @@
 }
 
 duration store_config_follower::RequestDelay(bool own_zone) const {
-  if (IsReader())
+  // After a restore of the store, this node reads from it as well.
+  if (IsReader() || (ready() && !is_complete_))
     return store_available_ ? kReaderRequestDelay : duration::zero();
   return own_zone || !ready() ? duration::zero() : kOtherZoneRequestDelay;
 }
@@ -365,59 +494,56 @@
   read_missed_records_ = IsReader() && read_timer_ == 0;
   fbs::config_requestT request;
   request.from_offset = applied_offset_;
+  request.store_era = store_->current();
   transport_->Send(offer->address, MakeEnvelope(request));
 }
 
 void store_config_follower::HandleRequest(const std::string& address,
                                           const fbs::config_requestT& request) {
-  if (request.from_offset >= applied_offset_)
+  // A node in an earlier era lacks all records of the present one.
+  const uint64_t era = store_->current();
+  if (request.store_era > era) {
+    store_->ObservePeer(request.store_era, request.from_offset);
     return;
-  if (encoded_records_.empty() || encoded_from_ != request.from_offset ||
-      encoded_offset_ != applied_offset_) {
-    json records = json::array();
-    for (const auto& [key, record] : newest_records_) {
-      if (record.offset < request.from_offset)
-        continue;
-      json item = {{"key", key}, {"offset", record.offset}};
-      if (record.value)
-        item["value"] = *record.value;
-      records.push_back(std::move(item));
-    }
-    encoded_records_ =
-        records.dump(-1, ' ', false, json::error_handler_t::replace);
-    encoded_from_ = request.from_offset;
+  }
+  const uint64_t from = request.store_era == era ? request.from_offset : 0;
+  if (from >= applied_offset_)
+    return;
+  if (encoded_records_.empty() || encoded_era_ != era ||
+      encoded_from_ != from || encoded_offset_ != applied_offset_) {
+    std::vector<era_record> records;
+    for (keyed_record& record : records_.Since(era, from))
+      records.push_back({std::move(record), era});
+    encoded_records_ = EncodeRecords(records, era);
+    encoded_era_ = era;
+    encoded_from_ = from;
     encoded_offset_ = applied_offset_;
   }
   fbs::config_stateT state;
   state.offset = applied_offset_;
   state.state = encoded_records_;
+  state.store_era = era;
   transport_->Send(address, MakeEnvelope(std::move(state)));
 }
 
 void store_config_follower::HandleState(const peer_info& from,
                                         const fbs::config_stateT& state) {
-  const auto records = ParseJson(state.state);
-  keyed_batch batch;
-  batch.end_offset = state.offset;
-  bool valid = records.has_value() && records->is_array();
-  for (const json& item : valid ? *records : json::array()) {
-    keyed_record record;
-    valid = item.is_object() && item.contains("key") &&
-            item["key"].is_string() && item.contains("offset") &&
-            item["offset"].is_number_unsigned();
-    if (!valid)
-      break;
-    record.key = item["key"];
-    record.offset = item["offset"];
-    if (item.contains("value") && item["value"].is_string())
-      record.value = item["value"].get<std::string>();
-    batch.records.push_back(std::move(record));
-  }
-  if (!valid) {
+  std::vector<era_record> records;
+  if (!DecodeRecords(state.state, state.store_era, &records)) {
     malformed_records_.Increment();
     LogWarning("state", "bad_state_of_peer", {{"peer", from.address}});
     return;
   }
+  if (!store_->ObservePeer(state.store_era, state.offset))
+    return;
+  if (state.offset == 0) {
+    ApplyUnconfirmed(records);
+    return;
+  }
+  keyed_batch batch;
+  batch.end_offset = state.offset;
+  for (era_record& each : records)
+    batch.records.push_back(std::move(each.record));
   const uint64_t previous_offset = applied_offset_;
   Apply(batch, "peer");
   if (from.zone != own_zone_ && applied_offset_ > previous_offset &&
--- a/node/store_config_follower.h
+++ b/node/store_config_follower.h
@@ -3,16 +3,18 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "decisions/config_view.h"
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
 #include "node/operator_records.h"
+#include "node/store_era.h"
+#include "node/store_records.h"
 #include "wire/keyed_store.h"
 #include "wire/peer_transport.h"
 
@@ -34,12 +36,17 @@
 // and read again as soon as an answer is late (docs/platform.md, calls to the
 // store).
 //
-// Invariant: the configuration version and the applied offset never decrease
-// while the process runs.
+// When the store was restored from an older copy, its era increases and its
+// offsets start again. The follower then reads the newest records again. It
+// keeps the version in force, and each record that the copy lacks until the
+// record may have been written again (docs/design/store-era.md).
+//
+// Invariant: the configuration version never decreases while the process runs,
+// nor does the applied offset within an era of the store.
 class store_config_follower {
  public:
   store_config_follower(loop* loop,
-                        keyed_store* store,
+                        store_era* store,
                         peer_transport* transport,
                         std::string own_zone,
                         const operator_record_reader* reader,
@@ -59,7 +66,8 @@
   bool ready() const { return version_ > 0; }
   std::shared_ptr<const config_view> view() const { return view_; }
   uint64_t version() const { return version_; }
-  // All operator records before this offset are applied.
+  // All operator records before this offset are applied, in the present era of
+  // the store.
   uint64_t applied_offset() const { return applied_offset_; }
 
   // Time since the store last answered; duration::max() before its first
@@ -83,13 +91,20 @@
     store_change_callback_ = std::move(callback);
   }
 
-  // To be called with each offset before which a peer has applied all records.
+  // To be called with each offset of the present era before which a peer has
+  // applied all records.
   // If the peer stays ahead, its records are requested.
   void OnPeerOffset(const peer_info& from, uint64_t offset);
   void HandleRequest(const std::string& address,
                      const fbs::config_requestT& request);
   void HandleState(const peer_info& from, const fbs::config_stateT& state);
 
+  // To be called when the era of the store has changed.
+  void OnEraChange();
+  // Sends to a peer the records in force that the restored store may lack. A
+  // peer that has just started cannot read them there.
+  void SendUnconfirmedRecords(const std::string& address);
+
  private:
   // A peer that has records which this node lacks.
   struct peer_offer {
@@ -112,9 +127,8 @@
   void ScheduleNextRead();
   void OnLateAnswer();
   void OnRead(uint64_t read,
-              const tl::expected<keyed_batch, store_error>& result,
+              const tl::expected<keyed_batch, store_failure>& result,
               bool full_read);
-  void AddDeletedKeys(keyed_batch* batch) const;
   void ScheduleRetry(store_error error);
   void SetStoreLost(const char* error);
   void SetStoreAnswered();
@@ -123,21 +137,38 @@
   void RequestRecords();
   // Milliseconds since the store last answered; -1 before its first answer.
   int64_t StoreAgeMs() const;
+  // Applies the records of the present era before `batch.end_offset`, after
+  // which all of them are known.
   void Apply(const keyed_batch& batch, const char* source);
-  // Returns whether the record changed the configuration.
-  bool ApplyRecord(const keyed_record& record, const char* source);
+  // These return whether the record changed the configuration.
+  bool ApplyRecord(const era_record& record, const char* source);
+  bool TakeEffect(const era_record& record, const char* source);
+  // Applies records that the restored store may lack, from a peer.
+  void ApplyUnconfirmed(const std::vector<era_record>& records);
+  // Keeps unconfirmed records for as long as they may be written again.
+  void StartGrace();
+  void DeleteUnconfirmedRecords();
+  // Records of earlier eras that are in force, including the configuration if
+  // the store has only older versions.
+  std::vector<era_record> UnconfirmedRecords() const;
   void RebuildView();
 
   loop* loop_;
-  keyed_store* store_;
+  store_era* store_;
   peer_transport* transport_;
   std::string own_zone_;
   const operator_record_reader* reader_;
   std::function<void()> change_callback_;
-  // Newest record of each key.
-  std::map<std::string, keyed_record> newest_records_;
+  store_records records_;
   uint64_t applied_offset_ = 0;
+  // All records of the present era before `applied_offset_` are applied.
+  bool is_complete_ = false;
+  // Ends the period in which unconfirmed records may be written again.
+  timer_id grace_timer_ = 0;
+  bool grace_is_over_ = false;
   uint64_t version_ = 0;
+  // The record of `version_`, with the latest era in which it was seen.
+  era_record config_record_;
   config_view operator_config_;
   std::set<std::string> zones_out_;
   std::shared_ptr<const config_view> view_ =
@@ -168,6 +199,7 @@
   std::optional<peer_offer> offer_;
   // The last state that was sent to a peer, for others that lack the same
   // records.
+  uint64_t encoded_era_ = 0;
   uint64_t encoded_from_ = 0;
   uint64_t encoded_offset_ = 0;
   std::string encoded_records_;
--- a/testing/memory_store.cc
+++ b/testing/memory_store.cc
@@ -9,6 +9,10 @@
 // call asks for.
 constexpr duration kResponseTimeout = std::chrono::seconds(2);
 
+store_failure Refused() {
+  return {store_error::kRefused, std::nullopt};
+}
+
 }  // namespace
 
 class memory_store_client : public keyed_store {
@@ -19,7 +23,7 @@
   void ReadNewest(store_topic topic, read_callback done) override {
     const auto action = [store = store_, topic, done](bool reachable) {
       if (!reachable) {
-        done(tl::unexpected(store_error::kRefused));
+        done(tl::unexpected(Refused()));
         return;
       }
       const memory_store::topic_log& log = store->logs_[topic];
@@ -29,10 +33,11 @@
           batch.records.push_back(record);
       }
       batch.end_offset = log.records.size();
-      done(batch);
+      batch.era = store->era_;
+      store->Answer([done, batch] { done(batch); });
     };
     Call(duration::zero(), action,
-         [done] { done(tl::unexpected(store_error::kUnknown)); });
+         [done] { done(tl::unexpected(store_failure())); });
   }
 
   void ReadFrom(store_topic topic,
@@ -43,16 +48,19 @@
     const auto action = [store = store_, name = name_, topic, from, wait, limit,
                          done](bool reachable) {
       if (!reachable) {
-        done(tl::unexpected(store_error::kRefused));
+        done(tl::unexpected(Refused()));
         return;
       }
       memory_store::topic_log& log = store->logs_[topic];
-      if (from < log.first_offset) {
-        done(tl::unexpected(store_error::kTrimmed));
+      if (from < log.first_offset ||
+          (store->era_ > 0 && from > log.records.size())) {
+        const store_failure failure{store_error::kTrimmed, store->era_};
+        store->Answer([done, failure] { done(tl::unexpected(failure)); });
         return;
       }
       if (from < log.records.size()) {
-        done(store->RecordsFrom(log, from));
+        store->Answer(
+            [done, batch = store->RecordsFrom(log, from)] { done(batch); });
         return;
       }
       log.waiting_reads.push_back(
@@ -65,12 +73,15 @@
             continue;
           const auto timed_out = std::move(each->done);
           waiting_reads.erase(each);
-          timed_out(store->RecordsFrom(store->logs_[topic], from));
+          store->Answer([timed_out, batch = store->RecordsFrom(
+                                        store->logs_[topic], from)] {
+            timed_out(batch);
+          });
           return;
         }
       });
     };
-    Call(wait, action, [done] { done(tl::unexpected(store_error::kUnknown)); });
+    Call(wait, action, [done] { done(tl::unexpected(store_failure())); });
   }
 
   void Put(store_topic topic,
@@ -80,17 +91,18 @@
     const auto action = [store = store_, topic, key, value,
                          done](bool reachable) {
       if (!reachable) {
-        done(tl::unexpected(store_error::kRefused));
+        done(tl::unexpected(Refused()));
         return;
       }
       store->Write(topic, key, value);
-      if (store->lose_answers_)
-        done(tl::unexpected(store_error::kUnknown));
-      else
-        done({});
+      if (store->lose_answers_) {
+        done(tl::unexpected(store_failure()));
+        return;
+      }
+      store->Answer([done, era = store->era_] { done(written_record{era}); });
     };
     Call(duration::zero(), action,
-         [done] { done(tl::unexpected(store_error::kUnknown)); });
+         [done] { done(tl::unexpected(store_failure())); });
   }
 
  private:
@@ -134,7 +146,7 @@
   for (auto& [topic, log] : logs_) {
     for (waiting_read& each : std::exchange(log.waiting_reads, {})) {
       loop_->RunAfter(each.limit - loop_->Now(), [done = std::move(each.done)] {
-        done(tl::unexpected(store_error::kUnknown));
+        done(tl::unexpected(store_failure()));
       });
     }
   }
@@ -150,7 +162,7 @@
     std::vector<waiting_read> remaining_reads;
     for (waiting_read& each : std::exchange(log.waiting_reads, {})) {
       if (each.client == client)
-        each.done(tl::unexpected(store_error::kRefused));
+        each.done(tl::unexpected(Refused()));
       else
         remaining_reads.push_back(std::move(each));
     }
@@ -174,7 +186,8 @@
   std::vector<waiting_read> remaining_reads;
   for (waiting_read& each : std::exchange(log->waiting_reads, {})) {
     if (each.wakes_on_write)
-      each.done(RecordsFrom(*log, each.from_offset));
+      Answer([done = std::move(each.done),
+              batch = RecordsFrom(*log, each.from_offset)] { done(batch); });
     else
       remaining_reads.push_back(std::move(each));
   }
@@ -188,9 +201,31 @@
   batch.records.assign(log.records.begin() + static_cast<std::ptrdiff_t>(from),
                        log.records.end());
   batch.end_offset = log.records.size();
+  batch.era = era_;
   return batch;
 }
 
+void memory_store::Answer(std::function<void()> deliver) {
+  if (answer_delay_ == duration::zero())
+    deliver();
+  else
+    loop_->RunAfter(answer_delay_, std::move(deliver));
+}
+
+void memory_store::Restore() {
+  std::vector<waiting_read> waiting_reads;
+  for (auto& [topic, log] : logs_) {
+    for (waiting_read& each : log.waiting_reads)
+      waiting_reads.push_back(std::move(each));
+  }
+  logs_ = backup_;
+  for (auto& [topic, log] : logs_)
+    log.waiting_reads.clear();
+  ++era_;
+  for (const waiting_read& each : waiting_reads)
+    each.done(tl::unexpected(store_failure()));
+}
+
 void memory_store::Trim(store_topic topic) {
   topic_log& log = logs_[topic];
   log.first_offset = log.records.size();
--- a/testing/memory_store.h
+++ b/testing/memory_store.h
@@ -21,6 +21,8 @@
 //   store.SetReachable("a", false);   // this client is refused
 //   store.SetSilent(true);   // no client gets an answer
 //   store.Trim(store_topic::kOperators);   // reads of old offsets fail
+//   store.Backup();
+//   store.Restore();   // later writes are lost, and the era increases
 class memory_store {
  public:
   explicit memory_store(loop* run_loop) : loop_(run_loop) {}
@@ -52,6 +54,14 @@
   // still be read with ReadNewest.
   void Trim(store_topic topic);
 
+  // Keeps a copy of all records for Restore.
+  void Backup() { backup_ = logs_; }
+  // Goes back to the copy, which has none of the writes after it, and raises
+  // the era by one. Reads that wait for records end with an unknown result.
+  void Restore();
+  // Answers that are computed from now on arrive this much later.
+  void SetAnswerDelay(duration delay) { answer_delay_ = delay; }
+
   uint64_t call_count() const { return call_count_; }
   // The newest value of a key; nullopt when it has none.
   std::optional<std::string> NewestValue(store_topic topic,
@@ -84,14 +94,19 @@
                std::function<void()> give_up);
   keyed_batch RecordsFrom(const topic_log& log, uint64_t from) const;
   void WakeReaders(topic_log* log);
+  // Calls `deliver`, which has the answer to a call, when it arrives.
+  void Answer(std::function<void()> deliver);
 
   loop* loop_;
   duration delay_ = std::chrono::milliseconds(4);
+  duration answer_delay_ = duration::zero();
+  uint64_t era_ = 0;
   bool lose_answers_ = false;
   bool lose_wake_ups_ = false;
   bool silent_ = false;
   std::set<std::string> unreachable_;
   std::map<store_topic, topic_log> logs_;
+  std::map<store_topic, topic_log> backup_;
   uint64_t call_count_ = 0;
 };
 
--- a/testing/soak.cc
+++ b/testing/soak.cc
@@ -154,7 +154,10 @@
           MakeResource("services", "shop", {{"coldPerS", 50}}),
           MakeResource("tenants", "t1", {{"apiKeys", keys}}),
           MakeResource("tenants", "t2", {{"apiKeys", {"k2"}}})}}};
-    store_.AppendRecord(kOperatorTopic, "config", document.dump());
+    // A restore loses this configuration.
+    store_.Backup();
+    config_ = document.dump();
+    store_.AppendRecord(kOperatorTopic, "config", config_);
   }
 
   void AddNode(size_t index) {
@@ -412,13 +415,17 @@
 
   void InjectStoreFault(duration length) {
     last_store_fault_at_ = loop_.Now();
-    switch (random_.Below(3)) {
+    switch (random_.Below(4)) {
       case 0:
         store_.Compact(kOperatorTopic);
         return;
       case 1:
         store_.SetUnavailable(true);
         break;
+      case 2:
+        store_.SetUnavailable(true);
+        loop_.RunAfter(length, [this] { RestoreStore(); });
+        break;
       default:
         store_.DropAppendResponses(true);
         break;
@@ -430,6 +437,16 @@
     });
   }
 
+  // The operator writes the lost configuration again, unless there is a newer
+  // one by then.
+  void RestoreStore() {
+    store_.Restore();
+    loop_.RunAfter(std::chrono::milliseconds(500), [this] {
+      last_store_fault_at_ = loop_.Now();
+      store_.AppendRecord(kOperatorTopic, "config", config_);
+    });
+  }
+
   void ToggleOldKey() {
     old_key_valid_ = !old_key_valid_;
     keys_changed_at_ = loop_.Now();
@@ -620,6 +637,7 @@
   std::string address_prefix_;
   http_target_client client_;
   store_stand_in store_;
+  std::string config_;
   std::vector<soak_node> nodes_;
   std::map<std::string, soak_request> requests_;
   uint64_t next_id_ = 1;
--- a/testing/store_stand_in.cc
+++ b/testing/store_stand_in.cc
@@ -92,7 +92,7 @@
   else
     log.newest_by_key.erase(key);
   for (auto& [id, read] : std::exchange(log.waiting_reads, {}))
-    read.exchange->Respond(MakeReadResponse(log, read.from_offset));
+    Respond(MakeReadResponse(log, read.from_offset), read.exchange.get());
   return offset;
 }
 
@@ -105,14 +105,14 @@
 void store_stand_in::Handle(const http_request& request,
                             const std::shared_ptr<http_exchange>& exchange) {
   if (unavailable_) {
-    exchange->Respond(JsonResponse(503, json::object()));
+    Respond(JsonResponse(503, json::object()), exchange.get());
     return;
   }
   const query_parameters parameters = ParseQuery(request.path);
   const auto topic = parameters.find("topic");
   const std::string operation = request.path.substr(0, request.path.find('?'));
   if (topic == parameters.end()) {
-    exchange->Respond(JsonResponse(400, json::object()));
+    Respond(JsonResponse(400, json::object()), exchange.get());
   } else if (operation == "/log-append") {
     HandleAppend(topic->second, request.body, exchange.get());
   } else if (const auto log = topics_.find(topic->second);
@@ -121,10 +121,29 @@
   } else if (log != topics_.end() && operation == "/log-read") {
     HandleRead(&log->second, parameters, exchange);
   } else {
-    exchange->Respond(JsonResponse(404, json::object()));
+    Respond(JsonResponse(404, json::object()), exchange.get());
   }
 }
 
+void store_stand_in::Restore() {
+  // The timers of waiting reads keep the addresses of their topics, so topics
+  // are emptied but not removed.
+  for (auto& [topic, log] : topics_) {
+    for (const auto& [id, read] : log.waiting_reads)
+      read.exchange->DropConnection();
+    const auto copy = backup_.find(topic);
+    log = copy == backup_.end() ? topic_log() : copy->second;
+    log.waiting_reads.clear();
+  }
+  ++era_;
+}
+
+void store_stand_in::Respond(http_response response,
+                             http_exchange* exchange) const {
+  response.headers.Add("Store-Era", std::to_string(era_));
+  exchange->Respond(std::move(response));
+}
+
 http_response store_stand_in::MakeReadResponse(const topic_log& log,
                                                uint64_t from_offset) {
   http_response response;
@@ -147,28 +166,28 @@
     return found == parameters.end() ? uint64_t{0} : std::stoull(found->second);
   };
   const uint64_t from_offset = parameter_value("from");
-  if (from_offset < log->first_offset) {
-    exchange->Respond(JsonResponse(410, {{"first", log->first_offset}}));
+  if (from_offset < log->first_offset || from_offset > log->end_offset()) {
+    Respond(JsonResponse(410, {{"first", log->first_offset}}), exchange.get());
     return;
   }
   if (from_offset < log->end_offset()) {
-    exchange->Respond(MakeReadResponse(*log, from_offset));
+    Respond(MakeReadResponse(*log, from_offset), exchange.get());
     return;
   }
   const uint64_t read_id = next_read_id_++;
   log->waiting_reads[read_id] = {from_offset, exchange};
-  loop_->RunAfter(
-      std::chrono::milliseconds(parameter_value("waitMs")),
-      [this, alive = std::weak_ptr<bool>(alive_), log, read_id] {
-        if (alive.expired())
-          return;
-        const auto waiting = log->waiting_reads.find(read_id);
-        if (waiting == log->waiting_reads.end())
-          return;
-        const waiting_read expired = waiting->second;
-        log->waiting_reads.erase(waiting);
-        expired.exchange->Respond(MakeReadResponse(*log, expired.from_offset));
-      });
+  loop_->RunAfter(std::chrono::milliseconds(parameter_value("waitMs")),
+                  [this, alive = std::weak_ptr<bool>(alive_), log, read_id] {
+                    if (alive.expired())
+                      return;
+                    const auto waiting = log->waiting_reads.find(read_id);
+                    if (waiting == log->waiting_reads.end())
+                      return;
+                    const waiting_read expired = waiting->second;
+                    log->waiting_reads.erase(waiting);
+                    Respond(MakeReadResponse(*log, expired.from_offset),
+                            expired.exchange.get());
+                  });
 }
 
 void store_stand_in::HandleReadNewest(const topic_log& log,
@@ -178,8 +197,10 @@
     items.push_back({{"key", key},
                      {"value", EncodeBase64(*newest.second.value)},
                      {"offset", newest.first}});
-  exchange->Respond(JsonResponse(
-      200, {{"items", items}, {"hasMore", false}, {"end", log.end_offset()}}));
+  Respond(JsonResponse(200, {{"items", items},
+                             {"hasMore", false},
+                             {"end", log.end_offset()}}),
+          exchange);
 }
 
 void store_stand_in::HandleAppend(const std::string& topic,
@@ -190,7 +211,7 @@
   const auto batch =
       DecodeKeyedRecords(EncodeBigEndian(0) + EncodeBigEndian(0) + body, 0);
   if (!batch) {
-    exchange->Respond(JsonResponse(400, json::object()));
+    Respond(JsonResponse(400, json::object()), exchange);
     return;
   }
   const uint64_t offset = topics_[topic].end_offset();
@@ -199,8 +220,9 @@
   if (drop_append_responses_)
     exchange->DropConnection();
   else
-    exchange->Respond(JsonResponse(
-        200, {{"offset", offset}, {"end", topics_[topic].end_offset()}}));
+    Respond(JsonResponse(200, {{"offset", offset},
+                               {"end", topics_[topic].end_offset()}}),
+            exchange);
 }
 
 }  // namespace skylarkhoist
--- a/testing/store_stand_in.h
+++ b/testing/store_stand_in.h
@@ -16,7 +16,8 @@
 
 // HTTP stand-in for the platform's metadata store. It serves the calls that
 // nodes make, for keyed topics with one partition: log-read, which waits for
-// new records, log-newest and log-append.
+// new records, log-newest and log-append. Responses name the era of the store
+// in the header Store-Era.
 //
 //   store_stand_in store(&loop, "127.0.0.1:0");
 //   store.AppendRecord("keyed.op", "config", text);
@@ -38,6 +39,11 @@
   // Removes all records of a topic from log-read; log-newest still returns the
   // newest record of each key.
   void Compact(const std::string& topic);
+  // Keeps a copy of all records for Restore.
+  void Backup() { backup_ = topics_; }
+  // Goes back to the copy, which has none of the records after it, and raises
+  // the era by one. Drops the connections of waiting reads.
+  void Restore();
   // Makes all calls fail with 503.
   void SetUnavailable(bool unavailable) { unavailable_ = unavailable; }
   // Makes appends take effect without a response.
@@ -74,10 +80,14 @@
                     http_exchange* exchange);
   static http_response MakeReadResponse(const topic_log& log,
                                         uint64_t from_offset);
+  // Adds the era to a response and sends it.
+  void Respond(http_response response, http_exchange* exchange) const;
 
   event_loop* loop_;
   metrics counters_;
   std::map<std::string, topic_log> topics_;
+  std::map<std::string, topic_log> backup_;
+  uint64_t era_ = 0;
   uint64_t next_read_id_ = 1;
   bool unavailable_ = false;
   bool drop_append_responses_ = false;
--- a/wire/keyed_store.h
+++ b/wire/keyed_store.h
@@ -24,7 +24,7 @@
   std::string key;
   // Unset if the key was deleted.
   std::optional<std::string> value;
-  // Position in the topic; each new record gets a higher offset.
+  // Position in the topic; each new record gets a higher offset within an era.
   uint64_t offset = 0;
 };
 
@@ -32,6 +32,13 @@
   std::vector<keyed_record> records;
   // Offset at which to continue reading.
   uint64_t end_offset = 0;
+  // Era of the store that answered.
+  uint64_t era = 0;
+};
+
+struct written_record {
+  // Era of the store that answered.
+  uint64_t era = 0;
 };
 
 enum class store_error {
@@ -39,20 +46,29 @@
   kRefused,
   // No complete response; a write may have taken effect or may still do so.
   kUnknown,
-  // The store no longer keeps the records asked for; ReadNewest returns those
-  // that are still the newest of their key.
+  // The store does not have the offset asked for, because it has trimmed the
+  // records or was restored from an older copy; ReadNewest returns those that
+  // are still the newest of their key.
   kTrimmed,
 };
 
+struct store_failure {
+  store_error error = store_error::kUnknown;
+  // Era of the store that answered; unset if there was no response.
+  std::optional<uint64_t> era;
+};
+
 // A key-value store outside the cluster, whose records outlive the cluster's
-// processes. Each callback runs exactly once, never before the function
-// returns.
+// processes. It may be restored from a copy that lacks the last writes. Each
+// restore increases its era by one, and offsets have a meaning within one era
+// only. A store without eras has era 0. Each callback runs exactly once, never
+// before the function returns.
 class keyed_store {
  public:
   using read_callback =
-      std::function<void(const tl::expected<keyed_batch, store_error>&)>;
+      std::function<void(const tl::expected<keyed_batch, store_failure>&)>;
   using write_callback =
-      std::function<void(const tl::expected<void, store_error>&)>;
+      std::function<void(const tl::expected<written_record, store_failure>&)>;
 
   virtual ~keyed_store() = default;
 
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -1761,6 +1761,7 @@
   uint64_t applied_offset = 0;
   uint64_t roster_version = 0;
   bool store_lost = false;
+  uint64_t store_era = 0;
 };
 
 struct heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1772,7 +1773,8 @@
     VT_ECHO = 6,
     VT_APPLIED_OFFSET = 8,
     VT_ROSTER_VERSION = 10,
-    VT_STORE_LOST = 12
+    VT_STORE_LOST = 12,
+    VT_STORE_ERA = 14
   };
   uint64_t counter() const {
     return GetField<uint64_t>(VT_COUNTER, 0);
@@ -1789,6 +1791,9 @@
   bool store_lost() const {
     return GetField<uint8_t>(VT_STORE_LOST, 0) != 0;
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_COUNTER, 8) &&
@@ -1796,6 +1801,7 @@
            VerifyField<uint64_t>(verifier, VT_APPLIED_OFFSET, 8) &&
            VerifyField<uint64_t>(verifier, VT_ROSTER_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            verifier.EndTable();
   }
   heartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1822,6 +1828,9 @@
   void add_store_lost(bool store_lost) {
     fbb_.AddElement<uint8_t>(heartbeat::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(heartbeat::VT_STORE_ERA, store_era, 0);
+  }
   explicit heartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1839,8 +1848,10 @@
     uint64_t echo = 0,
     uint64_t applied_offset = 0,
     uint64_t roster_version = 0,
-    bool store_lost = false) {
+    bool store_lost = false,
+    uint64_t store_era = 0) {
   heartbeatBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_roster_version(roster_version);
   builder_.add_applied_offset(applied_offset);
   builder_.add_echo(echo);
@@ -3252,6 +3263,7 @@
 struct config_requestT : public flatbuffers::NativeTable {
   typedef config_request TableType;
   uint64_t from_offset = 0;
+  uint64_t store_era = 0;
 };
 
 struct config_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3259,14 +3271,19 @@
   typedef config_requestBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_FROM_OFFSET = 4
+    VT_FROM_OFFSET = 4,
+    VT_STORE_ERA = 6
   };
   uint64_t from_offset() const {
     return GetField<uint64_t>(VT_FROM_OFFSET, 0);
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_FROM_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            verifier.EndTable();
   }
   config_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3281,6 +3298,9 @@
   void add_from_offset(uint64_t from_offset) {
     fbb_.AddElement<uint64_t>(config_request::VT_FROM_OFFSET, from_offset, 0);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(config_request::VT_STORE_ERA, store_era, 0);
+  }
   explicit config_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3294,8 +3314,10 @@
 
 inline flatbuffers::Offset<config_request> Createconfig_request(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t from_offset = 0) {
+    uint64_t from_offset = 0,
+    uint64_t store_era = 0) {
   config_requestBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_from_offset(from_offset);
   return builder_.Finish();
 }
@@ -3311,6 +3333,7 @@
   typedef config_state TableType;
   uint64_t offset = 0;
   std::string state{};
+  uint64_t store_era = 0;
 };
 
 struct config_state FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3319,7 +3342,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_OFFSET = 4,
-    VT_STATE = 6
+    VT_STATE = 6,
+    VT_STORE_ERA = 8
   };
   uint64_t offset() const {
     return GetField<uint64_t>(VT_OFFSET, 0);
@@ -3327,11 +3351,15 @@
   const flatbuffers::String *state() const {
     return GetPointer<const flatbuffers::String *>(VT_STATE);
   }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
            VerifyOffset(verifier, VT_STATE) &&
            verifier.VerifyString(state()) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            verifier.EndTable();
   }
   config_stateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3349,6 +3377,9 @@
   void add_state(flatbuffers::Offset<flatbuffers::String> state) {
     fbb_.AddOffset(config_state::VT_STATE, state);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(config_state::VT_STORE_ERA, store_era, 0);
+  }
   explicit config_stateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3363,8 +3394,10 @@
 inline flatbuffers::Offset<config_state> Createconfig_state(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t offset = 0,
-    flatbuffers::Offset<flatbuffers::String> state = 0) {
+    flatbuffers::Offset<flatbuffers::String> state = 0,
+    uint64_t store_era = 0) {
   config_stateBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_offset(offset);
   builder_.add_state(state);
   return builder_.Finish();
@@ -3378,12 +3411,14 @@
 inline flatbuffers::Offset<config_state> Createconfig_stateDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t offset = 0,
-    const char *state = nullptr) {
+    const char *state = nullptr,
+    uint64_t store_era = 0) {
   auto state__ = state ? _fbb.CreateString(state) : 0;
   return skylarkhoist::fbs::Createconfig_state(
       _fbb,
       offset,
-      state__);
+      state__,
+      store_era);
 }
 
 flatbuffers::Offset<config_state> Createconfig_state(flatbuffers::FlatBufferBuilder &_fbb, const config_stateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6933,7 +6968,8 @@
       (lhs.echo == rhs.echo) &&
       (lhs.applied_offset == rhs.applied_offset) &&
       (lhs.roster_version == rhs.roster_version) &&
-      (lhs.store_lost == rhs.store_lost);
+      (lhs.store_lost == rhs.store_lost) &&
+      (lhs.store_era == rhs.store_era);
 }
 
 inline bool operator!=(const heartbeatT &lhs, const heartbeatT &rhs) {
@@ -6955,6 +6991,7 @@
   { auto _e = applied_offset(); _o->applied_offset = _e; }
   { auto _e = roster_version(); _o->roster_version = _e; }
   { auto _e = store_lost(); _o->store_lost = _e; }
+  { auto _e = store_era(); _o->store_era = _e; }
 }
 
 inline flatbuffers::Offset<heartbeat> heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6970,13 +7007,15 @@
   auto _applied_offset = _o->applied_offset;
   auto _roster_version = _o->roster_version;
   auto _store_lost = _o->store_lost;
+  auto _store_era = _o->store_era;
   return skylarkhoist::fbs::Createheartbeat(
       _fbb,
       _counter,
       _echo,
       _applied_offset,
       _roster_version,
-      _store_lost);
+      _store_lost,
+      _store_era);
 }
 
 
@@ -7732,7 +7771,8 @@
 
 inline bool operator==(const config_requestT &lhs, const config_requestT &rhs) {
   return
-      (lhs.from_offset == rhs.from_offset);
+      (lhs.from_offset == rhs.from_offset) &&
+      (lhs.store_era == rhs.store_era);
 }
 
 inline bool operator!=(const config_requestT &lhs, const config_requestT &rhs) {
@@ -7750,6 +7790,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = from_offset(); _o->from_offset = _e; }
+  { auto _e = store_era(); _o->store_era = _e; }
 }
 
 inline flatbuffers::Offset<config_request> config_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const config_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7761,16 +7802,19 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const config_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _from_offset = _o->from_offset;
+  auto _store_era = _o->store_era;
   return skylarkhoist::fbs::Createconfig_request(
       _fbb,
-      _from_offset);
+      _from_offset,
+      _store_era);
 }
 
 
 inline bool operator==(const config_stateT &lhs, const config_stateT &rhs) {
   return
       (lhs.offset == rhs.offset) &&
-      (lhs.state == rhs.state);
+      (lhs.state == rhs.state) &&
+      (lhs.store_era == rhs.store_era);
 }
 
 inline bool operator!=(const config_stateT &lhs, const config_stateT &rhs) {
@@ -7789,6 +7833,7 @@
   (void)_resolver;
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = state(); if (_e) _o->state = _e->str(); }
+  { auto _e = store_era(); _o->store_era = _e; }
 }
 
 inline flatbuffers::Offset<config_state> config_state::Pack(flatbuffers::FlatBufferBuilder &_fbb, const config_stateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7801,10 +7846,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const config_stateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _offset = _o->offset;
   auto _state = _o->state.empty() ? 0 : _fbb.CreateString(_o->state);
+  auto _store_era = _o->store_era;
   return skylarkhoist::fbs::Createconfig_state(
       _fbb,
       _offset,
-      _state);
+      _state,
+      _store_era);
 }
 
 
