Check that addresses are written again after a restore

Without OnEraChange of the directory, all tests of the group store_era passed, since restarted nodes write their own addresses. The test now fails without it.

--- a/node/store_era_test.cc
+++ b/node/store_era_test.cc
@@ -129,6 +129,11 @@
   fleet.store().Restore();
   CHECK_FALSE(fleet.store().NewestValue(store_topic::kNodes, "n1").has_value());
   fleet.Advance(seconds(2));
+  for (size_t i = 0; i < kMachines; ++i) {
+    const std::string name = "n" + std::to_string(i);
+    CHECK_TRUE(
+        fleet.store().NewestValue(store_topic::kNodes, name).has_value());
+  }
   fleet.Publish("1 1000 k1");
   fleet.Advance(seconds(1));
   for (size_t i = 0; i < kMachines; ++i)
