Learn the capacity of targets and route by it

Cause: the limit of a target was its number of usable slots, whatever its speed; a zone's own target filled up before other zones helped; and the entries compared loads whose age depended on the speed of the target.

A lower limit is tried before it is kept. Answers and directory entries carry limit, speed and expected time. Routing draws its two random candidates in proportion to speed, estimates old loads by the mean of recent ones, spills over to other zones from 60% load on, and treats targets that take 4 times as long as the fastest as slow.

The hosted node now observes the child calls of its runs; before, no wait was subtracted there.

--- a/decisions/concurrency_limit.h
+++ b/decisions/concurrency_limit.h
@@ -1,6 +1,10 @@
 #ifndef DECISIONS_CONCURRENCY_LIMIT_H_
 #define DECISIONS_CONCURRENCY_LIMIT_H_
 
+#include <cstdint>
+#include <string_view>
+
+#include "decisions/request_types.h"
 #include "kernel/plugin_registry.h"
 #include "kernel/time.h"
 
@@ -25,6 +29,7 @@
 
 // One finished call.
 struct limit_sample {
+  request_id id;
   call_outcome result = call_outcome::kSuccess;
   time_point started;
   // Time that the target itself took, excluding waits for its child calls.
@@ -44,9 +49,38 @@
   virtual void OnFinished(const limit_sample& sample, time_point now) = 0;
   // Returns to the cold capacity because the target restarted.
   virtual void ResetCold(time_point now) = 0;
+  // The connection of a call broke, which may mean a restart.
+  virtual void OnConnectionLost(time_point now) { ResetCold(now); }
   virtual void Update(const limit_options& options) = 0;
   // Current average latency of a call; zero when unknown.
   virtual duration Latency() const = 0;
+
+  // The call was handed over; `running` includes it. Calls of one `kind` do
+  // about the same work.
+  virtual void OnStarted(const request_id& /*id*/,
+                         uint64_t /*kind*/,
+                         int /*running*/,
+                         time_point /*now*/) {}
+  // From now on, the call waits for child calls, or no longer does.
+  virtual void OnChildCalls(const request_id& /*id*/,
+                            bool /*waiting*/,
+                            time_point /*now*/) {}
+  // Applies changes of the limit that are due. Called before each hand-over.
+  virtual void Advance(time_point /*now*/) {}
+  // Keeps the limit at `max_limit` until `until`, because latencies may include
+  // waits for child calls of unknown runs.
+  virtual void HoldAtMaximum(time_point /*until*/, time_point /*now*/) {}
+  // Expected time of the target's own work for an average call, from the calls
+  // that ended and those in progress; zero when not learned.
+  virtual duration WorkTime(time_point /*now*/) const {
+    return duration::zero();
+  }
+  // The same with the usual wait of a call for its child calls.
+  virtual duration RunTime(time_point /*now*/) const {
+    return duration::zero();
+  }
+  // Why the limit has its value, for logs.
+  virtual std::string_view State() const { return "fixed"; }
 };
 
 using limit_registry = plugin_registry<concurrency_limit, const limit_options&>;
--- a/decisions/node_view_table.h
+++ b/decisions/node_view_table.h
@@ -26,11 +26,15 @@
   bool serving = false;
   uint32_t load_permille = 0;
   uint32_t limit = 0;
+  // As in load_level of wire/messages.fbs; 0 when unknown.
+  uint32_t speed_milli = 0;
+  uint32_t expected_us = 0;
 
   bool operator==(const target_view& other) const {
     return service == other.service && address == other.address &&
            serving == other.serving && load_permille == other.load_permille &&
-           limit == other.limit;
+           limit == other.limit && speed_milli == other.speed_milli &&
+           expected_us == other.expected_us;
   }
 };
 
--- a/decisions/request_queue.h
+++ b/decisions/request_queue.h
@@ -2,6 +2,7 @@
 #define DECISIONS_REQUEST_QUEUE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
   time_point deadline;
   // Until when an admitted call waits if queue_options::exempt_admitted is set.
   time_point wait_until = time_point::max();
+  // Calls of one kind, for example of one route, do about the same work.
+  uint64_t kind = 0;
 };
 
 struct refused_call {
--- a/decisions/routing_policy.h
+++ b/decisions/routing_policy.h
@@ -29,6 +29,10 @@
   time_point reported_at;
   // Concurrency limit that the executing node reported; 0 when unknown.
   uint32_t limit = 0;
+  // Expected time of an average run, and of a new call with its wait for a
+  // slot, as the executing node learned them; zero when unknown.
+  duration run_time = duration::zero();
+  duration expected_time = duration::zero();
   // Share of this node's recent calls to the target that failed.
   double failure_rate = 0;
   // When this node first saw the target in its current incarnation.
--- a/decisions/target_scheduler.cc
+++ b/decisions/target_scheduler.cc
@@ -19,6 +19,10 @@
 // Number of runs over which the run time is averaged.
 constexpr int kAveragedRuns = 20;
 
+// For this time after a child call of an unknown run, run times may include
+// waits for child calls.
+constexpr duration kUnknownChildCallTime = std::chrono::seconds(10);
+
 limit_options LimitOptions(const service_config& settings) {
   return {settings.cold_capacity, settings.max_limit};
 }
@@ -82,6 +86,7 @@
 }
 
 std::optional<queued_call> target_scheduler::TakeNext(time_point now) {
+  limit_->Advance(now);
   if (running_.size() >= static_cast<size_t>(limit_->Limit()) ||
       !cold_limiter_.CanAcquire(now) || !named_limiter_.CanAcquire(now))
     return std::nullopt;
@@ -91,7 +96,9 @@
   if (next) {
     cold_limiter_.TryAcquire(now);
     named_limiter_.TryAcquire(now);
-    running_[next->id] = {now, static_cast<int>(running_.size()) + 1};
+    const int running = static_cast<int>(running_.size()) + 1;
+    running_[next->id] = {now, running};
+    limit_->OnStarted(next->id, next->kind, running, now);
   }
   return next;
 }
@@ -111,6 +118,7 @@
   if (found == running_.end())
     return;
   limit_sample sample;
+  sample.id = id;
   sample.result = result;
   sample.started = found->second.started;
   sample.latency =
@@ -142,6 +150,15 @@
   UpdateQueueOptions();
 }
 
+void target_scheduler::OnConnectionLost(time_point now) {
+  limit_->OnConnectionLost(now);
+  UpdateQueueOptions();
+}
+
+void target_scheduler::OnUnknownChildCall(time_point now) {
+  limit_->HoldAtMaximum(now + kUnknownChildCallTime, now);
+}
+
 void target_scheduler::UpdateSettings(const service_config& settings) {
   settings_ = settings;
   cold_limiter_.SetRate(settings.cold_per_second);
@@ -160,6 +177,24 @@
   return available > now ? std::min(*expiry, available) : *expiry;
 }
 
+duration target_scheduler::ExpectedTime(time_point now) const {
+  const duration run_time = limit_->RunTime(now);
+  if (run_time == duration::zero())
+    return run_time;
+  // Calls that must end before a new one starts.
+  const auto ahead = static_cast<double>(running_.size() + queue_->size()) + 1 -
+                     limit_->Limit();
+  if (ahead <= 0)
+    return run_time;
+  const std::chrono::duration<double> wait = run_time * ahead / limit_->Limit();
+  return run_time + std::chrono::duration_cast<duration>(wait);
+}
+
+double target_scheduler::Speed(time_point now) const {
+  const std::chrono::duration<double> run_time = limit_->RunTime(now);
+  return run_time.count() > 0 ? limit_->Limit() / run_time.count() : 0;
+}
+
 uint32_t target_scheduler::LoadPermille(time_point now) const {
   const size_t used = running_.size() + queue_->size();
   const auto slot_load =
@@ -188,7 +223,11 @@
       average_run_time_ == duration::zero()
           ? drain_seconds
           : std::chrono::duration<double>(average_run_time_).count();
-  return (static_cast<double>(running_.size()) +
+  // After the limit has fallen, as at a stalled target, more calls than it are
+  // in progress. They don't load the service more than a full target does.
+  const auto running =
+      std::min<double>(static_cast<double>(running_.size()), limit_->Limit());
+  return (running +
           static_cast<double>(queue_->size()) * run_seconds / drain_seconds) /
          limit_->Limit();
 }
--- a/decisions/target_scheduler.h
+++ b/decisions/target_scheduler.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -65,6 +66,16 @@
                   time_point now,
                   duration child_call_wait = duration::zero());
 
+  // The call that TakeNext returned waits for its child calls from now on, or
+  // no longer does.
+  void OnChildCalls(const request_id& id, bool waiting, time_point now) {
+    limit_->OnChildCalls(id, waiting, now);
+  }
+
+  // Child calls cannot be assigned to the calls that make them, so that times
+  // of calls say nothing about the concurrency of the target for a while.
+  void OnUnknownChildCall(time_point now);
+
   // Removes a waiting call, for example because its caller disconnected.
   // Returns false when it does not wait here.
   bool Remove(const request_id& id);
@@ -75,6 +86,9 @@
   // Returns to the cold capacity because the target restarted.
   void ResetCold(time_point now);
 
+  // The connection of a call broke.
+  void OnConnectionLost(time_point now);
+
   // The target is cold until `until`, and gets calls at most at the cold rate
   // of the settings, including settings that change meanwhile. A time in the
   // past ends the cold state.
@@ -97,6 +111,21 @@
   // zero before the first run ends.
   duration AverageRunTime() const { return average_run_time_; }
 
+  // Expected time of the target's own work for an average call; zero when not
+  // learned.
+  duration WorkTime(time_point now) const { return limit_->WorkTime(now); }
+
+  // Expected time of a new call: its wait for a slot and its run, with the
+  // usual waits for child calls; zero when not learned.
+  duration ExpectedTime(time_point now) const;
+
+  // Calls per second that the target completes when all slots of the limit
+  // work; 0 when not learned.
+  double Speed(time_point now) const;
+
+  // Why the limit has its value, for logs.
+  std::string_view LimitState() const { return limit_->State(); }
+
   int limit() const { return limit_->Limit(); }
   size_t running() const { return running_.size(); }
   size_t waiting() const { return queue_->size(); }
--- a/decisions/zone_aware_routing.cc
+++ b/decisions/zone_aware_routing.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <chrono>
 
 #include "decisions/routing_policy.h"
@@ -41,6 +42,61 @@
          kMaxAgePenaltyPermille * age_share;
 }
 
+// Age of the load report as a share of the maximum.
+double AgeShare(const route_candidate& candidate, time_point now) {
+  const std::chrono::duration<double> age = now - candidate.reported_at;
+  return std::clamp(age / kMaxReportAge, 0.0, 1.0);
+}
+
+// Estimates the loads of targets whose speed is known. An old report counts as
+// the mean of the recent ones of the same or of the other zones. A penalty for
+// the age would favour fast targets, and no penalty slow ones, because slow
+// targets answer less often.
+class load_estimator {
+ public:
+  load_estimator(const std::vector<route_candidate>& candidates, time_point now)
+      : now_(now) {
+    std::array<double, 2> weights{};
+    std::array<double, 2> sums{};
+    for (const route_candidate& each : candidates) {
+      const double weight = 1 - AgeShare(each, now);
+      weights[Group(each)] += weight;
+      sums[Group(each)] += weight * each.load_permille;
+    }
+    for (size_t i = 0; i < means_.size(); ++i)
+      means_[i] = weights[i] > 0 ? sums[i] / weights[i] : kUnknownLoadPermille;
+  }
+
+  double Estimate(const route_candidate& candidate) const {
+    if (candidate.run_time == duration::zero())
+      return EstimateLoad(candidate, now_);
+    const double age_share = AgeShare(candidate, now_);
+    const double limit = std::max<double>(candidate.limit, 1);
+    const double own_load = candidate.open_calls * 1000 / limit;
+    const int opened_since =
+        candidate.open_calls_at_report < 0
+            ? 0
+            : std::max(candidate.open_calls - candidate.open_calls_at_report,
+                       0);
+    const double reported =
+        candidate.load_permille + opened_since * 1000 / limit;
+    return std::max(own_load, reported * (1 - age_share) +
+                                  means_[Group(candidate)] * age_share);
+  }
+
+ private:
+  // Load assumed while there is no recent report. Low enough that a target of
+  // another zone gets calls, which bring a report, before the near one is full.
+  static constexpr double kUnknownLoadPermille = 300;
+
+  static size_t Group(const route_candidate& candidate) {
+    return candidate.same_zone ? 0 : 1;
+  }
+
+  time_point now_;
+  std::array<double, 2> means_{};
+};
+
 // A target whose failure rate is above the margin plus the factor times the
 // lowest rate is used only when no other has capacity. The comparison is
 // relative because a failure that all targets share, as when a service behind
@@ -48,14 +104,39 @@
 constexpr double kFailureRateMargin = 0.1;
 constexpr double kFailureRateFactor = 2.5;
 
-// Prefers targets of the same zone while they have capacity, then those of
-// other zones with capacity, then failing targets with capacity, then any
-// target. In each group it chooses the less loaded of two random candidates: if
-// each node chose the least loaded of all, they would all send to the same idle
-// target.
+// A target counts as slow when its run time is this multiple of the fastest
+// one's and exceeds it by the margin. Targets that differ by a factor of 3
+// share the work by occupancy, that is in proportion to their speed.
+constexpr double kSlowFactor = 4;
+constexpr duration kSlowMargin = std::chrono::milliseconds(20);
+
+// Share of the calls for which a slow target is treated like the others. These
+// calls show when it has recovered.
+constexpr double kProbeShare = 0.01;
+
+// Calls go to another zone when a target there has less load than the chosen
+// one of the same zone by a margin. The margin covers the bytes and the delay
+// between zones, and falls with the load of the near target, because its calls
+// soon have to wait. Up to the first load, calls stay in the zone.
+constexpr double kMinSpillPermille = 600;
+constexpr double kFullSpillPermille = 850;
+constexpr double kMaxSpillMarginPermille = 500;
+constexpr double kMinSpillMarginPermille = 50;
+// Below this load, calls don't go to a target in another zone that takes longer
+// by the factor.
+constexpr double kUrgentSpillPermille = 900;
+constexpr double kMaxSpillSlowdown = 2;
+
+// Prefers targets of the same zone while they have capacity and calls need not
+// wait soon, then those of other zones with capacity. Slow targets and full
+// ones follow by the expected time of the call, then failing targets with
+// capacity, then any target. In each group it chooses the less loaded of two
+// random candidates: if each node chose the least loaded of all, they would all
+// send to the same idle target.
 //
-// Load pattern: some targets lose or fail a part of their answers while the
-// others have capacity.
+// Load patterns: some targets lose or fail a part of their answers while the
+// others have capacity. A target gets several times slower for some seconds. A
+// zone has fewer targets than the others.
 class zone_aware_routing : public routing_policy {
  public:
   std::optional<size_t> Pick(const std::vector<route_candidate>& candidates,
@@ -63,6 +144,8 @@
                              random_source& random) override {
     std::vector<estimated_target> same_zone_targets;
     std::vector<estimated_target> other_zone_targets;
+    std::vector<estimated_target> slow_targets;
+    std::vector<estimated_target> full_targets;
     std::vector<estimated_target> failing_targets;
     std::vector<estimated_target> all_targets;
     double lowest_failure_rate = 1.0;
@@ -73,12 +156,17 @@
     }
     const double max_failure_rate =
         kFailureRateMargin + lowest_failure_rate * kFailureRateFactor;
+    const load_estimator loads(candidates, now);
+    const duration max_run_time = MaxRunTime(candidates, max_failure_rate);
     for (size_t i = 0; i < candidates.size(); ++i) {
       const route_candidate& each = candidates[i];
-      const estimated_target estimated = {i, EstimateLoad(each, now)};
+      const estimated_target estimated = {i, loads.Estimate(each), Speed(each)};
       all_targets.push_back(estimated);
-      if (estimated.estimate >= kFullPermille)
+      if (estimated.estimate >= kFullPermille) {
+        if (each.failure_rate <= max_failure_rate)
+          full_targets.push_back(estimated);
         continue;
+      }
       // Draws a number only during a slow start: most targets have their full
       // share, and there may be dozens of them for each call.
       const double share = SlowStartShare(each, now);
@@ -86,23 +174,44 @@
         continue;
       if (each.failure_rate > max_failure_rate)
         failing_targets.push_back(estimated);
+      else if (each.run_time > max_run_time && random.Fraction() >= kProbeShare)
+        slow_targets.push_back(estimated);
       else
         (each.same_zone ? same_zone_targets : other_zone_targets)
             .push_back(estimated);
     }
-    for (const auto* group : {&same_zone_targets, &other_zone_targets,
-                              &failing_targets, &all_targets}) {
+    if (!same_zone_targets.empty()) {
+      const estimated_target near = LessLoaded(same_zone_targets, random);
+      if (near.estimate < kMinSpillPermille || other_zone_targets.empty() ||
+          candidates[near.index].run_time == duration::zero())
+        return near.index;
+      const estimated_target far = LessLoaded(other_zone_targets, random);
+      return ShouldSpill(candidates, near, far) ? far.index : near.index;
+    }
+    if (!other_zone_targets.empty())
+      return LessLoaded(other_zone_targets, random).index;
+    if (!slow_targets.empty()) {
+      const estimated_target slow = LessLoaded(slow_targets, random);
+      if (full_targets.empty())
+        return slow.index;
+      const estimated_target full = LessLoaded(full_targets, random);
+      return ExpectedTime(candidates, full) < ExpectedTime(candidates, slow)
+                 ? full.index
+                 : slow.index;
+    }
+    for (const auto* group : {&failing_targets, &all_targets}) {
       if (!group->empty())
-        return LessLoaded(*group, random);
+        return LessLoaded(*group, random).index;
     }
     return std::nullopt;
   }
 
   bool HasCapacity(const std::vector<route_candidate>& candidates,
                    time_point now) const override {
+    const load_estimator loads(candidates, now);
     return std::any_of(candidates.begin(), candidates.end(),
                        [&](const route_candidate& each) {
-                         return EstimateLoad(each, now) < kFullPermille;
+                         return loads.Estimate(each) < kFullPermille;
                        });
   }
 
@@ -110,8 +219,15 @@
   struct estimated_target {
     size_t index;
     double estimate;
+    // Calls per second; 0 when unknown.
+    double speed;
   };
 
+  static double Speed(const route_candidate& candidate) {
+    const std::chrono::duration<double> run_time = candidate.run_time;
+    return run_time.count() > 0 ? candidate.limit / run_time.count() : 0;
+  }
+
   static double SlowStartShare(const route_candidate& candidate,
                                time_point now) {
     const double age_share =
@@ -120,15 +236,87 @@
     return std::clamp(age_share, kSlowStartMinShare, 1.0);
   }
 
-  static size_t LessLoaded(const std::vector<estimated_target>& group,
-                           random_source& random) {
-    const size_t first = random.Below(group.size());
+  // Longest run time of a target that does not count as slow.
+  static duration MaxRunTime(const std::vector<route_candidate>& candidates,
+                             double max_failure_rate) {
+    duration fastest = duration::max();
+    for (const route_candidate& each : candidates) {
+      if (each.run_time > duration::zero() &&
+          each.failure_rate <= max_failure_rate)
+        fastest = std::min(fastest, each.run_time);
+    }
+    if (fastest == duration::max())
+      return fastest;
+    return std::max(std::chrono::duration_cast<duration>(fastest * kSlowFactor),
+                    fastest + kSlowMargin);
+  }
+
+  static bool ShouldSpill(const std::vector<route_candidate>& candidates,
+                          const estimated_target& near,
+                          const estimated_target& far) {
+    const duration near_time = candidates[near.index].run_time;
+    const duration far_time = candidates[far.index].run_time;
+    if (far_time == duration::zero() ||
+        (near.estimate < kUrgentSpillPermille &&
+         far_time > near_time * kMaxSpillSlowdown))
+      return false;
+    const double share =
+        std::clamp((near.estimate - kMinSpillPermille) /
+                       (kFullSpillPermille - kMinSpillPermille),
+                   0.0, 1.0);
+    const double margin =
+        kMaxSpillMarginPermille +
+        share * (kMinSpillMarginPermille - kMaxSpillMarginPermille);
+    return near.estimate - margin > far.estimate;
+  }
+
+  // Expected time of a call, without the calls that the target makes. A full
+  // target runs the calls that this node opened since the report before it.
+  static duration ExpectedTime(const std::vector<route_candidate>& candidates,
+                               const estimated_target& target) {
+    const route_candidate& candidate = candidates[target.index];
+    const double queued = std::max(target.estimate / kFullPermille - 1, 0.0);
+    return std::max(candidate.expected_time,
+                    std::chrono::duration_cast<duration>(candidate.run_time *
+                                                         (1 + queued)));
+  }
+
+  // Draws a random index other than `excluded`, in proportion to the speeds of
+  // the targets. With equal chances, a slow target would get more than its
+  // share whenever the loads are little known.
+  static size_t Draw(const std::vector<estimated_target>& group,
+                     size_t excluded,
+                     random_source& random) {
+    const bool known =
+        std::all_of(group.begin(), group.end(),
+                    [](const auto& each) { return each.speed > 0; });
+    if (!known) {
+      const size_t drawn =
+          random.Below(group.size() - (excluded < group.size() ? 1 : 0));
+      return drawn + (drawn >= excluded ? 1 : 0);
+    }
+    double sum = 0;
+    for (size_t i = 0; i < group.size(); ++i)
+      sum += i == excluded ? 0 : group[i].speed;
+    double left = random.Fraction() * sum;
+    size_t drawn = excluded == 0 ? 1 : 0;
+    for (size_t i = 0; i < group.size() && left >= 0; ++i) {
+      if (i == excluded)
+        continue;
+      drawn = i;
+      left -= group[i].speed;
+    }
+    return drawn;
+  }
+
+  static estimated_target LessLoaded(const std::vector<estimated_target>& group,
+                                     random_source& random) {
     if (group.size() == 1)
-      return group[first].index;
-    size_t second = random.Below(group.size() - 1);
-    second += second >= first ? 1 : 0;
-    return group[second].estimate < group[first].estimate ? group[second].index
-                                                          : group[first].index;
+      return group.front();
+    const size_t first = Draw(group, group.size(), random);
+    const size_t second = Draw(group, first, random);
+    return group[second].estimate < group[first].estimate ? group[second]
+                                                          : group[first];
   }
 };
 
--- a/node/call_types.cc
+++ b/node/call_types.cc
@@ -71,6 +71,13 @@
   return answer;
 }
 
+duration RunTimeAt(uint32_t limit, uint32_t speed_milli) {
+  if (limit == 0 || speed_milli == 0)
+    return duration::zero();
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(limit * 1000.0 / speed_milli));
+}
+
 std::string ToText(const request_id& id) {
   char text[40];
   std::snprintf(text, sizeof(text), "%016llx-%llx",
--- a/node/call_types.h
+++ b/node/call_types.h
@@ -41,6 +41,10 @@
                                   bool local,
                                   fbs::ran_state ran = fbs::ran_state::kNo);
 
+// Run time of an average call at a target that completes `speed_milli`
+// thousandths of a call per second at its limit; zero when one is unknown.
+duration RunTimeAt(uint32_t limit, uint32_t speed_milli);
+
 std::string ToText(const request_id& id);
 std::string_view ToText(fbs::ran_state ran);
 std::string_view ToText(fbs::member_state state);
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -206,6 +206,9 @@
   if (parent != nullptr) {
     call->priority = PriorityFromWire(parent->priority_class);
     calls_by_parent_.emplace(call->metadata.parent_id, call->call_id);
+    call->local_run = FromWire(parent->id);
+    if (child_call_observer_ != nullptr)
+      child_call_observer_->OnChildCallStart(call->local_run);
   }
   if (on_local_call_)
     on_local_call_(route.name,
@@ -509,6 +512,8 @@
     candidate.reported_at = target.reported_at;
     candidate.limit = target.limit;
     candidate.first_seen = target.first_seen;
+    candidate.run_time = target.run_time;
+    candidate.expected_time = target.expected_time;
     const auto key = std::make_pair(target.peer_address, call.service);
     const auto report = load_reports_.find(key);
     if (report != load_reports_.end() &&
@@ -516,6 +521,11 @@
       candidate.load_permille = report->second.permille;
       candidate.reported_at = report->second.received_at;
       candidate.open_calls_at_report = report->second.open_calls;
+      if (report->second.limit > 0) {
+        candidate.limit = report->second.limit;
+        candidate.run_time = report->second.run_time;
+        candidate.expected_time = report->second.expected_time;
+      }
     }
     const auto open = open_calls_by_target_.find(key);
     candidate.open_calls =
@@ -630,8 +640,7 @@
     return;
   }
   if (!answer.loads.empty() && answer.loads.front() != nullptr)
-    RecordLoadReport(from.address, call->service,
-                     answer.loads.front()->permille);
+    RecordLoadReport(from.address, call->service, *answer.loads.front());
   call->credit = std::min<int>(call->credit, answer.credit_left);
   RememberTarget(*call->current_attempt, answer);
   LearnDownstreamServices(*call, answer);
@@ -685,14 +694,20 @@
 
 void entry::RecordLoadReport(const std::string& address,
                              const std::string& service,
-                             uint32_t permille) {
+                             const fbs::load_levelT& level) {
   const auto key = std::make_pair(address, service);
   const auto open = open_calls_by_target_.find(key);
   // The call that carried the report still counts as open here but is about to
   // end.
   const int still_open =
       open == open_calls_by_target_.end() ? 0 : open->second - 1;
-  load_reports_[key] = {permille, loop_->Now(), still_open};
+  load_report& report = load_reports_[key];
+  report.permille = level.permille;
+  report.limit = level.speed_milli > 0 ? level.limit : 0;
+  report.run_time = RunTimeAt(report.limit, level.speed_milli);
+  report.expected_time = std::chrono::microseconds(level.expected_us);
+  report.received_at = loop_->Now();
+  report.open_calls = still_open;
 }
 
 // Records the services that the target's node reports behind the runs of this
@@ -888,8 +903,12 @@
       child_call_observer_->OnChildCallEnd(parent->parent,
                                            response.status >= 500);
   }
-  if (call->has_local_parent)
+  if (call->has_local_parent) {
+    if (child_call_observer_ != nullptr)
+      child_call_observer_->OnChildCallEnd(call->local_run,
+                                           response.status >= 500);
     ForgetParent(*call);
+  }
   const auto found = calls_.find(call->call_id);
   const std::unique_ptr<open_call> ended = std::move(found->second);
   calls_.erase(found);
--- a/node/entry.h
+++ b/node/entry.h
@@ -245,6 +245,8 @@
     // Set for calls that a run in progress at the local target makes. Other
     // calls of a target cannot be told from requests on open routes.
     bool has_local_parent = false;
+    // Execution of that run; {0, 0} when there is none.
+    request_id local_run;
     bool has_rate_token = false;
     bool repeatable = true;
     // Set while this request holds the claim on its idempotency key, which is
@@ -291,6 +293,10 @@
   };
   struct load_report {
     uint32_t permille = 0;
+    // As in route_candidate; 0 when unknown.
+    uint32_t limit = 0;
+    duration run_time = duration::zero();
+    duration expected_time = duration::zero();
     time_point received_at;
     // Open calls of this node to the target when the report arrived.
     int open_calls = 0;
@@ -322,7 +328,7 @@
   void ForgetParent(const open_call& call);
   void RecordLoadReport(const std::string& address,
                         const std::string& service,
-                        uint32_t permille);
+                        const fbs::load_levelT& level);
   void RememberTarget(const attempt& ended, const fbs::call_answerT& answer);
   void LearnDownstreamServices(const open_call& call,
                                const fbs::call_answerT& answer);
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "kernel/log.h"
@@ -52,6 +53,18 @@
   return report;
 }
 
+uint32_t ToWireMicros(duration value) {
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(micros, 0, std::numeric_limits<uint32_t>::max()));
+}
+
+uint32_t SpeedMilli(const target_scheduler& gate, time_point now) {
+  return static_cast<uint32_t>(
+      std::min(gate.Speed(now) * 1000, double{1U << 31U}));
+}
+
 std::string ToText(const std::optional<double>& rate) {
   return rate ? std::to_string(*rate) : "none";
 }
@@ -97,6 +110,7 @@
           "skylarkhoist_queue_seconds",
           "Time between arrival and hand-over of a call",
           {0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1})),
+      counters_(counters),
       log_(loop, "executor", kLoggedExecutionsPerSecond) {
   target_expiry_timer_ =
       loop_->RunAfter(std::chrono::seconds(1), [this] { ExpireTargets(); });
@@ -330,11 +344,53 @@
                                                  fbs::member_state::kDraining);
     entry.load_permille = target.gate->LoadPermille(loop_->Now());
     entry.limit = static_cast<uint32_t>(target.gate->limit());
+    entry.speed_milli = SpeedMilli(*target.gate, loop_->Now());
+    entry.expected_us = ToWireMicros(target.gate->ExpectedTime(loop_->Now()));
     entries.push_back(std::move(entry));
   }
   return entries;
 }
 
+void executor::PublishCapacities() {
+  const time_point now = loop_->Now();
+  for (auto& [address, target] : targets_) {
+    const target_scheduler& gate = *target.gate;
+    const metric_labels labels = {{"service", target.announcement.service}};
+    counters_
+        ->Gauge("skylarkhoist_target_limit",
+                "Concurrent calls that the local target may get", labels)
+        .Set(gate.limit());
+    counters_
+        ->Gauge("skylarkhoist_target_calls_per_second",
+                "Calls per second that the local target completes at its limit",
+                labels)
+        .Set(gate.Speed(now));
+    counters_
+        ->Gauge("skylarkhoist_target_work_seconds",
+                "Time of the local target's own work for an average call",
+                labels)
+        .Set(std::chrono::duration<double>(gate.WorkTime(now)).count());
+    // Limits under trial last only for some calls.
+    if (gate.limit() == target.logged_limit || gate.LimitState() == "trial")
+      continue;
+    const int previous = std::exchange(target.logged_limit, gate.limit());
+    if (previous == 0)
+      continue;
+    counters_
+        ->Counter("skylarkhoist_target_limit_changes_total",
+                  "Changes of the local target's limit", labels)
+        .Increment();
+    LogStateChange(
+        "executor", "target_limit",
+        {{"service", target.announcement.service},
+         {"address", address},
+         {"limit", std::to_string(gate.limit())},
+         {"previous", std::to_string(previous)},
+         {"state", std::string(gate.LimitState())},
+         {"work_ms", std::to_string(ToMilliseconds(gate.WorkTime(now)))}});
+  }
+}
+
 // Marks targets that no longer announce themselves as down and drops those
 // without running calls.
 void executor::ExpireTargets() {
@@ -484,6 +540,7 @@
   queued_call.wait_until =
       now + std::max(kMinCallWait, duration(std::chrono::milliseconds(
                                        execution.call.target_left_ms)));
+  queued_call.kind = std::hash<std::string>()(execution.call.route);
   execution.target_address = target->announcement.address;
   const std::string address = execution.target_address;
   if (const auto why = target->gate->Enqueue(queued_call, loop_->Now())) {
@@ -635,7 +692,7 @@
       target->second.reserved_for.reset();
     if (result.error == target_error::kConnectionLost ||
         result.error == target_error::kConnectRefused)
-      target->second.gate->ResetCold(loop_->Now());
+      target->second.gate->OnConnectionLost(loop_->Now());
     if (result.error == target_error::kConnectRefused ||
         outcome == run_outcome::kWrongTarget)
       MarkDown(address);
@@ -988,11 +1045,11 @@
     const target_scheduler& gate = *target->second.gate;
     own_load.permille = gate.LoadPermille(loop_->Now());
     own_load.pressure = gate.PressurePermille(loop_->Now());
-    own_load.run_us = static_cast<uint32_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            gate.AverageRunTime())
-            .count());
+    own_load.run_us = ToWireMicros(gate.AverageRunTime());
     own_load.cold = gate.IsCold(loop_->Now());
+    own_load.limit = static_cast<uint32_t>(gate.limit());
+    own_load.speed_milli = SpeedMilli(gate, loop_->Now());
+    own_load.expected_us = ToWireMicros(gate.ExpectedTime(loop_->Now()));
     answer.loads.push_back(std::make_unique<fbs::load_levelT>(own_load));
     answer.target =
         ToWire(RunOf(target->second.announcement), target->second.status);
@@ -1131,8 +1188,12 @@
     return;
   open_execution& execution = found->second;
   execution.made_child_calls = true;
-  if (execution.open_child_calls++ == 0)
-    execution.child_calls_since = loop_->Now();
+  if (execution.open_child_calls++ > 0)
+    return;
+  execution.child_calls_since = loop_->Now();
+  const auto target = targets_.find(execution.target_address);
+  if (target != targets_.end())
+    target->second.gate->OnChildCalls(parent, true, loop_->Now());
 }
 
 void executor::OnChildCallEnd(const request_id& parent, bool failed) {
@@ -1141,8 +1202,17 @@
     return;
   open_execution& execution = found->second;
   execution.child_call_failed = execution.child_call_failed || failed;
-  if (--execution.open_child_calls == 0)
-    execution.child_call_time += loop_->Now() - execution.child_calls_since;
+  if (--execution.open_child_calls > 0)
+    return;
+  execution.child_call_time += loop_->Now() - execution.child_calls_since;
+  const auto target = targets_.find(execution.target_address);
+  if (target != targets_.end())
+    target->second.gate->OnChildCalls(parent, false, loop_->Now());
+}
+
+void executor::OnUnknownChildCall() {
+  for (auto& [address, target] : targets_)
+    target.gate->OnUnknownChildCall(loop_->Now());
 }
 
 void executor::StopAccepting() {
--- a/node/executor.h
+++ b/node/executor.h
@@ -116,6 +116,10 @@
     return departures_.All(loop_->Now());
   }
 
+  // Sets the metrics of what was learned about the targets, and logs limits
+  // that have changed.
+  void PublishCapacities();
+
   // Returns the targets of this node for gossip.
   std::vector<fbs::target_entryT> DescribeTargets() const;
 
@@ -135,6 +139,9 @@
   // that may not know them.
   std::vector<fbs::suspectT> QuarantinedRequests();
 
+  // The targets make calls whose runs are unknown.
+  void OnUnknownChildCall();
+
   void OnChildCallStart(const request_id& parent) override;
   void OnChildCallEnd(const request_id& parent, bool failed) override;
 
@@ -205,6 +212,8 @@
     crash_detector crashes;
     timer_id crash_timer = 0;
     timer_id dispatch_timer = 0;
+    // Limit in the last log line about it.
+    int logged_limit = 0;
   };
   struct open_execution {
     request_id id;
@@ -321,6 +330,7 @@
   prometheus::Counter& damaged_calls_;
   prometheus::Counter& stale_announcements_;
   prometheus::Histogram& queue_wait_;
+  metrics* counters_;
   rate_limited_log log_;
 };
 
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -39,6 +39,9 @@
 
 constexpr duration kIdleCheckInterval = std::chrono::milliseconds(20);
 
+// Interval of the checks whether the learned capacity has changed.
+constexpr duration kCapacityInterval = std::chrono::milliseconds(250);
+
 peer_info SelfInfo(const hosted_node_options& options) {
   return {options.peer_address, options.name, options.zone,
           options.incarnation};
@@ -56,9 +59,8 @@
 executor_options ExecutorOptions(const hosted_node_options& options) {
   executor_options result;
   result.zone = options.zone;
-  // Targets announce their slots. The duration of a run is a poor input for a
-  // learned limit, since it includes the child calls that the target makes.
-  result.plugins.limit = "static";
+  // Targets announce their slots, which remain the upper bound.
+  result.plugins.limit = "learned";
   result.plugins.exempt_admitted = true;
   result.plugins.min_new_share = kMinNewRequestShare;
   result.announcement_timeout = options.announcement_timeout;
@@ -169,6 +171,7 @@
       [this](const std::string& route, const std::string& parent_route) {
         OnLocalCall(route, parent_route);
       });
+  entry_.SetChildCallObserver(&executor_);
   entry_.SetRunLookup([this](const std::string& caller_id) {
     return executor_.FindRun(caller_id);
   });
@@ -184,12 +187,31 @@
 
 hosted_node::~hosted_node() {
   parts_.run_loop->Cancel(drain_timer_);
+  parts_.run_loop->Cancel(capacity_timer_);
 }
 
 void hosted_node::Start() {
   transport_.Start(this);
   directory_.Start();
   config_.Start();
+  capacity_timer_ = parts_.run_loop->RunAfter(kCapacityInterval,
+                                              [this] { PublishCapacity(); });
+}
+
+void hosted_node::PublishCapacity() {
+  executor_.PublishCapacities();
+  const std::vector<fbs::target_entryT> targets = executor_.DescribeTargets();
+  bool publish = false;
+  for (const fbs::target_entryT& target : targets) {
+    publish = capacity_publisher_.ShouldPublish(target.address, target.limit,
+                                                target.speed_milli,
+                                                parts_.run_loop->Now()) ||
+              publish;
+  }
+  if (publish)
+    directory_.SetTargets(targets);
+  capacity_timer_ = parts_.run_loop->RunAfter(kCapacityInterval,
+                                              [this] { PublishCapacity(); });
 }
 
 void hosted_node::OnRun(const std::string& route, bool started) {
@@ -207,6 +229,9 @@
     counted_calls_.OnCall(parent_route, route);
     return;
   }
+  // Where targets name the run of their calls, other calls come from callers.
+  if (!counted_calls_.has_calls())
+    executor_.OnUnknownChildCall();
   if (entry_.IsServiceFull(route))
     estimated_calls_.SkipInterval();
   estimated_calls_.OnCall(route, parts_.run_loop->Now());
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -8,6 +8,7 @@
 
 #include "decisions/call_counter.h"
 #include "decisions/call_estimator.h"
+#include "decisions/capacity_publisher.h"
 #include "kernel/json.h"
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
@@ -132,6 +133,8 @@
 
   void HandleHeartbeat(const peer_info& from, const fbs::heartbeatT& heartbeat);
   void OnMembersChanged();
+  // Shares what was learned about the local target when it has changed.
+  void PublishCapacity();
   // Peer addresses of the other nodes that may have a target of the service.
   std::vector<std::string> PeersServing(const std::string& service) const;
   // Informs the nodes of the own zone, and a few of other zones, which records
@@ -164,6 +167,8 @@
   // When the process ends at the latest.
   time_point stop_at_;
   timer_id drain_timer_ = 0;
+  timer_id capacity_timer_ = 0;
+  capacity_publisher capacity_publisher_;
   uint64_t heartbeat_counter_ = 0;
 };
 
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -525,6 +525,32 @@
   CHECK_FALSE(other->response.has_value());
 }
 
+// Load pattern: the runs at a target wait for slow child calls, whose request
+// ids begin with those of the runs. Guards against taking the wait for slowness
+// of the target.
+TEST(hosted_node, WaitsForChildCallsAreNotWorkOfTheTarget) {
+  hosted_fleet platform_fleet{kMachines, 1, &PlatformDialect()};
+  platform_fleet.Publish("1 1000 k1 k2");
+  platform_fleet.Advance(seconds(6));
+  for (size_t machine = 0; machine < kMachines; ++machine)
+    platform_fleet.targets().SlowDown(platform_fleet.target_address(machine),
+                                      machine == 0 ? 50 : 40, seconds(20));
+  for (const std::string id : {"a1", "a2", "a3", "a4", "a5"}) {
+    const auto parent = platform_fleet.Send(0, "/safe/x", "k1", id);
+    platform_fleet.Advance(milliseconds(20));
+    const auto call = platform_fleet.Send(0, "/inner/x", "", id + ".1");
+    platform_fleet.Advance(seconds(1));
+    CHECK_EQUAL(200, parent->response->status);
+    CHECK_EQUAL(200, call->response->status);
+  }
+  const double work_seconds =
+      platform_fleet.counters(0)
+          .Gauge("skylarkhoist_target_work_seconds", "", {{"service", "front"}})
+          .Value();
+  // The runs take 0.5 s, and wait for 0.4 s of it.
+  CHECK_TRUE(work_seconds > 0 && work_seconds < 0.3);
+}
+
 // Load pattern: a caller sends a request again and again that crashes each
 // target that runs it. Guards against targets, and the other requests at them,
 // that are lost to it without end.
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -6,6 +6,7 @@
 
 #include "kernel/json.h"
 #include "kernel/log.h"
+#include "node/call_types.h"
 #include "node/departure_log.h"
 #include "node/node_view_messages.h"
 #include "wire/address.h"
@@ -36,7 +37,8 @@
                       return left->service == right.service &&
                              left->address == right.address &&
                              left->state == right.state &&
-                             left->limit == right.limit;
+                             left->limit == right.limit &&
+                             left->speed_milli == right.speed_milli;
                     });
 }
 
@@ -455,6 +457,8 @@
     item.incarnation = node.incarnation;
     item.load_permille = target.load_permille;
     item.limit = target.limit;
+    item.run_time = RunTimeAt(target.limit, target.speed_milli);
+    item.expected_time = std::chrono::microseconds(target.expected_us);
     item.first_seen = table.ServingSince(node.address, target.address);
     found->push_back(std::move(item));
   }
--- a/node/node_view_messages.cc
+++ b/node/node_view_messages.cc
@@ -38,7 +38,8 @@
       continue;
     node.targets.push_back({target->service, target->address,
                             target->state == fbs::member_state::kServing,
-                            target->load_permille, target->limit});
+                            target->load_permille, target->limit,
+                            target->speed_milli, target->expected_us});
   }
   return node;
 }
@@ -63,6 +64,8 @@
                                       : fbs::member_state::kDraining;
     described->load_permille = target.load_permille;
     described->limit = target.limit;
+    described->speed_milli = target.speed_milli;
+    described->expected_us = target.expected_us;
     entry.targets.push_back(std::move(described));
   }
   return entry;
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -19,6 +19,9 @@
   uint32_t load_permille = 0;
   // Concurrency limit of the target.
   uint32_t limit = 0;
+  // As in route_candidate; zero when unknown.
+  duration run_time = duration::zero();
+  duration expected_time = duration::zero();
   // When this node first saw the target in service.
   time_point first_seen;
   // When this node received `load_permille`.
--- a/testing/hosted_fleet.h
+++ b/testing/hosted_fleet.h
@@ -74,6 +74,7 @@
   void StopAnnouncing(size_t index) { machines_[index].announcing = false; }
 
   hosted_node& node(size_t index) { return *machines_[index].process; }
+  metrics& counters(size_t index) { return *machines_[index].counters; }
   std::string peer_address(size_t index) const;
   std::string target_address(size_t index) const;
   std::string zone(size_t index) const;
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -1369,6 +1369,9 @@
   uint32_t run_us = 0;
   bool cold = false;
   uint32_t pressure = 0;
+  uint32_t limit = 0;
+  uint32_t speed_milli = 0;
+  uint32_t expected_us = 0;
 };
 
 struct load_level FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1380,7 +1383,10 @@
     VT_PERMILLE = 6,
     VT_RUN_US = 8,
     VT_COLD = 10,
-    VT_PRESSURE = 12
+    VT_PRESSURE = 12,
+    VT_LIMIT = 14,
+    VT_SPEED_MILLI = 16,
+    VT_EXPECTED_US = 18
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -1397,6 +1403,15 @@
   uint32_t pressure() const {
     return GetField<uint32_t>(VT_PRESSURE, 0);
   }
+  uint32_t limit() const {
+    return GetField<uint32_t>(VT_LIMIT, 0);
+  }
+  uint32_t speed_milli() const {
+    return GetField<uint32_t>(VT_SPEED_MILLI, 0);
+  }
+  uint32_t expected_us() const {
+    return GetField<uint32_t>(VT_EXPECTED_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -1405,6 +1420,9 @@
            VerifyField<uint32_t>(verifier, VT_RUN_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_COLD, 1) &&
            VerifyField<uint32_t>(verifier, VT_PRESSURE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SPEED_MILLI, 4) &&
+           VerifyField<uint32_t>(verifier, VT_EXPECTED_US, 4) &&
            verifier.EndTable();
   }
   load_levelT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1431,6 +1449,15 @@
   void add_pressure(uint32_t pressure) {
     fbb_.AddElement<uint32_t>(load_level::VT_PRESSURE, pressure, 0);
   }
+  void add_limit(uint32_t limit) {
+    fbb_.AddElement<uint32_t>(load_level::VT_LIMIT, limit, 0);
+  }
+  void add_speed_milli(uint32_t speed_milli) {
+    fbb_.AddElement<uint32_t>(load_level::VT_SPEED_MILLI, speed_milli, 0);
+  }
+  void add_expected_us(uint32_t expected_us) {
+    fbb_.AddElement<uint32_t>(load_level::VT_EXPECTED_US, expected_us, 0);
+  }
   explicit load_levelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1448,8 +1475,14 @@
     uint32_t permille = 0,
     uint32_t run_us = 0,
     bool cold = false,
-    uint32_t pressure = 0) {
+    uint32_t pressure = 0,
+    uint32_t limit = 0,
+    uint32_t speed_milli = 0,
+    uint32_t expected_us = 0) {
   load_levelBuilder builder_(_fbb);
+  builder_.add_expected_us(expected_us);
+  builder_.add_speed_milli(speed_milli);
+  builder_.add_limit(limit);
   builder_.add_pressure(pressure);
   builder_.add_run_us(run_us);
   builder_.add_permille(permille);
@@ -1469,7 +1502,10 @@
     uint32_t permille = 0,
     uint32_t run_us = 0,
     bool cold = false,
-    uint32_t pressure = 0) {
+    uint32_t pressure = 0,
+    uint32_t limit = 0,
+    uint32_t speed_milli = 0,
+    uint32_t expected_us = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return skylarkhoist::fbs::Createload_level(
       _fbb,
@@ -1477,7 +1513,10 @@
       permille,
       run_us,
       cold,
-      pressure);
+      pressure,
+      limit,
+      speed_milli,
+      expected_us);
 }
 
 flatbuffers::Offset<load_level> Createload_level(flatbuffers::FlatBufferBuilder &_fbb, const load_levelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2670,6 +2709,8 @@
   skylarkhoist::fbs::member_state state = skylarkhoist::fbs::member_state::kServing;
   uint32_t load_permille = 0;
   uint32_t limit = 0;
+  uint32_t speed_milli = 0;
+  uint32_t expected_us = 0;
 };
 
 struct target_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2681,7 +2722,9 @@
     VT_ADDRESS = 6,
     VT_STATE = 8,
     VT_LOAD_PERMILLE = 10,
-    VT_LIMIT = 12
+    VT_LIMIT = 12,
+    VT_SPEED_MILLI = 14,
+    VT_EXPECTED_US = 16
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -2698,6 +2741,12 @@
   uint32_t limit() const {
     return GetField<uint32_t>(VT_LIMIT, 0);
   }
+  uint32_t speed_milli() const {
+    return GetField<uint32_t>(VT_SPEED_MILLI, 0);
+  }
+  uint32_t expected_us() const {
+    return GetField<uint32_t>(VT_EXPECTED_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -2707,6 +2756,8 @@
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint32_t>(verifier, VT_LOAD_PERMILLE, 4) &&
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SPEED_MILLI, 4) &&
+           VerifyField<uint32_t>(verifier, VT_EXPECTED_US, 4) &&
            verifier.EndTable();
   }
   target_entryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2733,6 +2784,12 @@
   void add_limit(uint32_t limit) {
     fbb_.AddElement<uint32_t>(target_entry::VT_LIMIT, limit, 0);
   }
+  void add_speed_milli(uint32_t speed_milli) {
+    fbb_.AddElement<uint32_t>(target_entry::VT_SPEED_MILLI, speed_milli, 0);
+  }
+  void add_expected_us(uint32_t expected_us) {
+    fbb_.AddElement<uint32_t>(target_entry::VT_EXPECTED_US, expected_us, 0);
+  }
   explicit target_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2750,8 +2807,12 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     skylarkhoist::fbs::member_state state = skylarkhoist::fbs::member_state::kServing,
     uint32_t load_permille = 0,
-    uint32_t limit = 0) {
+    uint32_t limit = 0,
+    uint32_t speed_milli = 0,
+    uint32_t expected_us = 0) {
   target_entryBuilder builder_(_fbb);
+  builder_.add_expected_us(expected_us);
+  builder_.add_speed_milli(speed_milli);
   builder_.add_limit(limit);
   builder_.add_load_permille(load_permille);
   builder_.add_address(address);
@@ -2771,7 +2832,9 @@
     const char *address = nullptr,
     skylarkhoist::fbs::member_state state = skylarkhoist::fbs::member_state::kServing,
     uint32_t load_permille = 0,
-    uint32_t limit = 0) {
+    uint32_t limit = 0,
+    uint32_t speed_milli = 0,
+    uint32_t expected_us = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   return skylarkhoist::fbs::Createtarget_entry(
@@ -2780,7 +2843,9 @@
       address__,
       state,
       load_permille,
-      limit);
+      limit,
+      speed_milli,
+      expected_us);
 }
 
 flatbuffers::Offset<target_entry> Createtarget_entry(flatbuffers::FlatBufferBuilder &_fbb, const target_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6766,7 +6831,10 @@
       (lhs.permille == rhs.permille) &&
       (lhs.run_us == rhs.run_us) &&
       (lhs.cold == rhs.cold) &&
-      (lhs.pressure == rhs.pressure);
+      (lhs.pressure == rhs.pressure) &&
+      (lhs.limit == rhs.limit) &&
+      (lhs.speed_milli == rhs.speed_milli) &&
+      (lhs.expected_us == rhs.expected_us);
 }
 
 inline bool operator!=(const load_levelT &lhs, const load_levelT &rhs) {
@@ -6788,6 +6856,9 @@
   { auto _e = run_us(); _o->run_us = _e; }
   { auto _e = cold(); _o->cold = _e; }
   { auto _e = pressure(); _o->pressure = _e; }
+  { auto _e = limit(); _o->limit = _e; }
+  { auto _e = speed_milli(); _o->speed_milli = _e; }
+  { auto _e = expected_us(); _o->expected_us = _e; }
 }
 
 inline flatbuffers::Offset<load_level> load_level::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_levelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6803,13 +6874,19 @@
   auto _run_us = _o->run_us;
   auto _cold = _o->cold;
   auto _pressure = _o->pressure;
+  auto _limit = _o->limit;
+  auto _speed_milli = _o->speed_milli;
+  auto _expected_us = _o->expected_us;
   return skylarkhoist::fbs::Createload_level(
       _fbb,
       _service,
       _permille,
       _run_us,
       _cold,
-      _pressure);
+      _pressure,
+      _limit,
+      _speed_milli,
+      _expected_us);
 }
 
 
@@ -7429,7 +7506,9 @@
       (lhs.address == rhs.address) &&
       (lhs.state == rhs.state) &&
       (lhs.load_permille == rhs.load_permille) &&
-      (lhs.limit == rhs.limit);
+      (lhs.limit == rhs.limit) &&
+      (lhs.speed_milli == rhs.speed_milli) &&
+      (lhs.expected_us == rhs.expected_us);
 }
 
 inline bool operator!=(const target_entryT &lhs, const target_entryT &rhs) {
@@ -7451,6 +7530,8 @@
   { auto _e = state(); _o->state = _e; }
   { auto _e = load_permille(); _o->load_permille = _e; }
   { auto _e = limit(); _o->limit = _e; }
+  { auto _e = speed_milli(); _o->speed_milli = _e; }
+  { auto _e = expected_us(); _o->expected_us = _e; }
 }
 
 inline flatbuffers::Offset<target_entry> target_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7466,13 +7547,17 @@
   auto _state = _o->state;
   auto _load_permille = _o->load_permille;
   auto _limit = _o->limit;
+  auto _speed_milli = _o->speed_milli;
+  auto _expected_us = _o->expected_us;
   return skylarkhoist::fbs::Createtarget_entry(
       _fbb,
       _service,
       _address,
       _state,
       _load_permille,
-      _limit);
+      _limit,
+      _speed_milli,
+      _expected_us);
 }
 
 
