--- a/testing/store_stand_in.cc
+++ b/testing/store_stand_in.cc
@@ -141,7 +141,7 @@
 void store_stand_in::Respond(http_response response,
                              http_exchange* exchange) const {
   response.headers.Add("Store-Era", std::to_string(era_));
-  exchange->Respond(std::move(response));
+  exchange->Respond(response);
 }
 
 http_response store_stand_in::MakeReadResponse(const topic_log& log,
