Divide a customer's rate among the nodes for partitions

Cause: nodes that could not reach the owner of the token bucket continued at the rate of their recent grants, burst included, while the owner granted the whole rate to the others. An owner also kept its bucket through a partition and granted a second burst when it was over.

Change: the owner divides the rate by use among the nodes (fallback_shares) and tells each its share with each grant. A node without the owner generates tokens at its share; the owner takes them from the bucket and settles them when the node is back. A new owner learns the former shares from the nodes that it reaches. A node without a majority drops its buckets.

Why it works: the shares add up to at most the rate and stay reserved as long as a node may use them, so the sum over both sides no longer depends on when a partition is noticed.

--- a/decisions/token_bucket.cc
+++ b/decisions/token_bucket.cc
@@ -24,10 +24,17 @@
   tokens_ = std::min(tokens_, burst);
 }
 
+void token_bucket::Charge(double tokens, time_point now) {
+  Refill(now);
+  tokens_ =
+      std::clamp(tokens_ - tokens,
+                 std::min(tokens_, -per_second_ * kMaxDebtSeconds), burst_);
+}
+
 int64_t token_bucket::Grant(int64_t wanted, time_point now) {
   Refill(now);
-  const auto granted =
-      std::clamp<int64_t>(wanted, 0, static_cast<int64_t>(tokens_));
+  const auto granted = std::clamp<int64_t>(
+      wanted, 0, static_cast<int64_t>(std::max(tokens_, 0.0)));
   tokens_ -= static_cast<double>(granted);
   rate_exceeded_ = granted < wanted;
   return granted;
--- a/decisions/token_bucket.h
+++ b/decisions/token_bucket.h
@@ -26,6 +26,10 @@
   // Grants up to `wanted` tokens and returns their number.
   int64_t Grant(int64_t wanted, time_point now);
 
+  // Takes tokens that were used without a grant; negative to give back. The
+  // level may fall below zero, and grants resume when it is positive again.
+  void Charge(double tokens, time_point now);
+
   // True when the demand exceeds the rate, so that the last grant was smaller
   // than the request.
   bool rate_exceeded() const { return rate_exceeded_; }
@@ -33,6 +37,8 @@
  private:
   // Tokens at the start, in seconds of the rate, in addition to one token.
   static constexpr double kInitialSeconds = 0.1;
+  // Bound on the tokens that are missing, in seconds of the rate.
+  static constexpr double kMaxDebtSeconds = 3.0;
 
   void Refill(time_point now);
 
--- a/decisions/token_cache.h
+++ b/decisions/token_cache.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "decisions/fallback_shares.h"
 #include "kernel/time.h"
 
 namespace skylarkhoist {
@@ -12,13 +13,18 @@
 // waiting.
 //
 // While the node with the bucket is unreachable, this node generates tokens
-// itself, at the rate at which it was granted tokens before, or at a part of
-// its even share of the customer's rate if that is higher. It gets no tokens
-// from the bucket meanwhile, so all nodes together stay near the rate.
+// itself, at the rate that the bucket's owner has set aside for it.
 class token_cache {
  public:
-  // `even_share` is the customer's rate divided by the number of nodes.
-  void SetRate(double per_second, double even_share);
+  void SetRate(double per_second);
+
+  // Sets the rate at which this node may generate tokens, `now` when the owner
+  // of the bucket has answered.
+  void SetShare(const fallback_share& share, time_point now);
+  const fallback_share& share() const { return share_; }
+
+  // Number of tokens that this node has ever generated.
+  uint64_t generated() const { return generated_; }
 
   // Takes one token for a request. `bucket_reachable` is false when the node
   // with the bucket has not answered in time.
@@ -49,26 +55,23 @@
  private:
   // Tokens are requested for the demand of this time.
   static constexpr double kPrefetchSeconds = 0.3;
-  // Time constant of the averages.
+  // Time constant of the average.
   static constexpr double kAverageSeconds = 1.0;
   // How long a grant that was cut counts as a sign that the rate is exceeded.
   static constexpr duration kRateExceededHold = std::chrono::milliseconds(100);
   // Tokens unused for this long are dropped. Otherwise those of an earlier peak
   // could be spent on top of a later one.
   static constexpr duration kMaxIdleTime = std::chrono::seconds(1);
-  // Part of the even share that a node without granted tokens may use while the
-  // bucket is unreachable.
-  static constexpr double kMinFallbackShare = 0.25;
-
-  void UpdateAverages(time_point now);
+  void UpdateAverage(time_point now);
 
   int64_t held_ = 0;
   double per_second_ = 0;
-  double even_share_ = 0;
-  // Requests and granted tokens per second.
+  // Requests per second.
   double demand_per_second_ = 0;
-  double granted_per_second_ = 0;
   time_point averaged_at_;
+  fallback_share share_;
+  time_point share_granted_at_;
+  uint64_t generated_ = 0;
   double fallback_tokens_ = 0;
   time_point fallback_refilled_at_;
   time_point rate_exceeded_until_;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -123,6 +123,7 @@
               &transport_,
               options_.peer_address,
               options_.name,
+              options_.incarnation,
               parts.counters) {
   entry_.SetRateTokenAcquirer([this](const std::string& customer,
                                      time_point /*deadline*/,
--- a/node/hosted_node_test.cc
+++ b/node/hosted_node_test.cc
@@ -2,7 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -342,6 +344,71 @@
   }
 }
 
+// Load pattern: a customer sends several times its rate, and right after its
+// burst a part of the fleet is cut off: a zone, or a single machine, which may
+// own its token bucket. Guards against more runs on both sides together, in any
+// window, than its rate and burst allow.
+TEST(hosted_node, LimitsACustomerToItsRateWhenAPartitionComesWithAPeak) {
+  const double rate = 200;
+  const std::vector<std::vector<size_t>> parts = {
+      {0, 1}, {2, 3}, {4, 5}, {0}, {1}, {2}, {3}, {4}, {5}};
+  for (const std::vector<size_t>& part : parts) {
+    hosted_fleet cut{kMachines, 1};
+    cut.Publish("1 200 k1");
+    cut.Advance(seconds(3));
+    std::set<std::string> inside;
+    std::set<std::string> outside;
+    for (size_t i = 0; i < kMachines; ++i) {
+      const bool is_inside =
+          std::find(part.begin(), part.end(), i) != part.end();
+      (is_inside ? inside : outside).insert(cut.peer_address(i));
+    }
+    // Runs of each 100 ms.
+    std::vector<int64_t> runs;
+    const auto send_for = [&](duration length, int per_node) {
+      for (duration at = duration::zero(); at < length;
+           at += milliseconds(100)) {
+        int64_t before = 0;
+        int64_t after = 0;
+        for (size_t i = 0; i < kMachines; i += 2)
+          before += cut.target_counters(i).runs;
+        for (int i = 0; i < per_node; ++i) {
+          for (size_t machine = 0; machine < kMachines; ++machine)
+            cut.Send(machine, "/safe/x", "k1");
+          cut.Advance(duration(milliseconds(100)) / per_node);
+        }
+        for (size_t i = 0; i < kMachines; i += 2)
+          after += cut.target_counters(i).runs;
+        runs.push_back(after - before);
+      }
+    };
+    send_for(seconds(2), 2);
+    send_for(milliseconds(300), 25);
+    cut.network().Partition(inside, outside);
+    send_for(seconds(6), 25);
+    cut.network().Heal();
+    send_for(seconds(6), 25);
+    int64_t most = 0;
+    for (size_t start = 0; start + 50 <= runs.size(); ++start) {
+      int64_t sum = 0;
+      for (size_t i = start; i < start + 50; ++i)
+        sum += runs[i];
+      most = std::max(most, sum);
+    }
+    const std::string text = "machine " + std::to_string(part.front()) +
+                             " of " + std::to_string(part.size()) + ": " +
+                             std::to_string(most);
+    CHECK_TRUE_TEXT(static_cast<double>(most) <= (rate * 5 + rate) * 1.1 + 20,
+                    text.c_str());
+    int64_t total = 0;
+    for (const int64_t each : runs)
+      total += each;
+    // The rate is used nearly up in spite of the partition.
+    CHECK_TRUE_TEXT(static_cast<double>(total) >= rate * 12 * 0.8,
+                    text.c_str());
+  }
+}
+
 // Load pattern: all requests of a customer move to one machine. Guards against
 // refusals although the customer is within its rate.
 TEST(hosted_node, TokensFollowDemandBetweenMachines) {
--- a/node/token_service.cc
+++ b/node/token_service.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,15 @@
 // them fall on the same nodes.
 constexpr uint64_t kOwnerSeed = 1;
 
+// Share of a node that uses little of a customer's rate, as a part of the even
+// share of all nodes.
+constexpr double kMinShareOfEvenShare = 0.25;
+
+// A rate from a message, which may be damaged.
+double ValidRate(double per_second) {
+  return std::isfinite(per_second) && per_second > 0 ? per_second : 0;
+}
+
 uint64_t RendezvousWeight(const std::string& customer,
                           const std::string& node) {
   const uint64_t seed = XXH64(customer.data(), customer.size(), 0);
@@ -43,11 +53,13 @@
                              peer_transport* transport,
                              std::string own_address,
                              std::string own_name,
+                             uint64_t incarnation,
                              metrics* counters)
     : loop_(loop),
       transport_(transport),
       own_address_(std::move(own_address)),
       own_name_(std::move(own_name)),
+      incarnation_(incarnation),
       granted_(counters->Counter("skylarkhoist_tokens_total",
                                  "Requests for rate tokens by result",
                                  {{"result", "granted"}})),
@@ -70,13 +82,14 @@
 void token_service::SetConfig(std::shared_ptr<const config_view> config) {
   config_ = std::move(config);
   const time_point now = loop_->Now();
-  for (auto each = buckets_.begin(); each != buckets_.end();) {
+  for (auto each = owned_rates_.begin(); each != owned_rates_.end();) {
     const auto rate = config_->rates.find(each->first);
     if (rate == config_->rates.end()) {
-      each = buckets_.erase(each);
+      each = owned_rates_.erase(each);
       continue;
     }
-    each->second.SetRate(rate->second.per_second, rate->second.burst, now);
+    each->second.bucket.SetRate(rate->second.per_second, rate->second.burst,
+                                now);
     ++each;
   }
   AssignOwners();
@@ -84,6 +97,9 @@
 
 void token_service::SetMembers(const token_members& members) {
   members_ = members;
+  // Another node grants tokens until this one has a majority again.
+  if (!members_.has_majority)
+    owned_rates_.clear();
   ChooseOwnerCandidates();
   for (auto each = owner_sessions_.begin(); each != owner_sessions_.end();) {
     if (members_.names.count(each->first) > 0) {
@@ -128,17 +144,14 @@
 void token_service::AssignOwners() {
   for (auto& [customer, each] : accounts_) {
     const auto rate = config_->rates.find(customer);
-    if (rate != config_->rates.end()) {
-      each.tokens.SetRate(
-          rate->second.per_second,
-          rate->second.per_second / static_cast<double>(members_.names.size()));
-    }
+    if (rate != config_->rates.end())
+      each.tokens.SetRate(rate->second.per_second);
     std::string owner = OwnerOf(customer);
     if (owner == each.owner)
       continue;
     // Another node owns the bucket now, so the level of this one is outdated.
     if (each.owner == own_address_)
-      buckets_.erase(customer);
+      owned_rates_.erase(customer);
     each.owner = std::move(owner);
     ServeWaiters(each);
     if (!each.waiters.empty())
@@ -154,9 +167,7 @@
   const auto [found, inserted] = accounts_.try_emplace(customer);
   if (inserted) {
     found->second.owner = OwnerOf(customer);
-    found->second.tokens.SetRate(
-        rate->second.per_second,
-        rate->second.per_second / static_cast<double>(members_.names.size()));
+    found->second.tokens.SetRate(rate->second.per_second);
   }
   return &found->second;
 }
@@ -169,17 +180,39 @@
          (found == owner_sessions_.end() || !found->second.unavailable);
 }
 
-int64_t token_service::GrantLocally(const std::string& customer,
-                                    int64_t wanted,
-                                    bool* is_short) {
+token_service::grant_result token_service::Grant(const std::string& customer,
+                                                 const peer_info& node,
+                                                 int64_t wanted,
+                                                 const fallback_share& held,
+                                                 uint64_t generated) {
   const time_point now = loop_->Now();
   const rate_config& rate = config_->rates.at(customer);
-  token_bucket& bucket =
-      buckets_.try_emplace(customer, rate.per_second, rate.burst, now)
-          .first->second;
-  const int64_t granted = bucket.Grant(wanted, now);
-  *is_short = bucket.rate_exceeded();
-  return granted;
+  auto found = owned_rates_.find(customer);
+  if (found == owned_rates_.end())
+    found =
+        owned_rates_
+            .emplace(customer,
+                     owned_rate{token_bucket(rate.per_second, rate.burst, now),
+                                fallback_shares(incarnation_, now)})
+            .first;
+  token_bucket& bucket = found->second.bucket;
+  fallback_shares& shares = found->second.shares;
+  const auto is_live = [this](const std::string& address) {
+    return members_.names.count(address) > 0;
+  };
+  bucket.Charge(
+      shares.OnContact(node.address, node.incarnation, held, generated, now) +
+          shares.TakeReserved(is_live, now),
+      now);
+  grant_result result;
+  result.granted = bucket.Grant(wanted, now);
+  result.is_short = bucket.rate_exceeded();
+  result.share = shares.ShareAfterGrant(
+      node.address, result.granted, rate.per_second,
+      rate.per_second / static_cast<double>(members_.names.size()) *
+          kMinShareOfEvenShare,
+      now);
+  return result;
 }
 
 void token_service::Acquire(const std::string& customer,
@@ -193,8 +226,12 @@
   found->tokens.RecordDemand(now);
   const bool reachable = IsOwnerReachable(*found);
   if (found->owner == own_address_ && reachable && found->tokens.held() == 0) {
-    bool is_short = false;
-    found->tokens.OnGrant(GrantLocally(customer, 1, &is_short), is_short, now);
+    token_cache& tokens = found->tokens;
+    const grant_result result =
+        Grant(customer, {own_address_, own_name_, "", incarnation_}, 1,
+              tokens.share(), tokens.generated());
+    tokens.OnGrant(result.granted, result.is_short, now);
+    tokens.SetShare(result.share, now);
   }
   if (found->tokens.Take(reachable, now)) {
     (reachable ? granted_ : granted_without_owner_).Increment();
@@ -253,6 +290,11 @@
     auto want = std::make_unique<fbs::token_wantT>();
     want->customer = customer;
     want->wanted = static_cast<uint64_t>(wanted);
+    const fallback_share& share = each.tokens.share();
+    want->share_per_second = share.per_second;
+    want->total_shares_per_second = share.total_per_second;
+    want->share_granted_by = share.granted_by;
+    want->generated = each.tokens.generated();
     request.wants.push_back(std::move(want));
   }
   if (request.wants.empty())
@@ -326,10 +368,15 @@
     }
     auto item = std::make_unique<fbs::token_grant_itemT>();
     item->customer = want->customer;
-    bool is_short = false;
-    item->granted = static_cast<uint64_t>(GrantLocally(
-        want->customer, static_cast<int64_t>(want->wanted), &is_short));
-    item->short_ = is_short;
+    const grant_result result = Grant(
+        want->customer, from, static_cast<int64_t>(want->wanted),
+        {ValidRate(want->share_per_second),
+         ValidRate(want->total_shares_per_second), want->share_granted_by},
+        want->generated);
+    item->granted = static_cast<uint64_t>(result.granted);
+    item->short_ = result.is_short;
+    item->share_per_second = result.share.per_second;
+    item->total_shares_per_second = result.share.total_per_second;
     grant.grants.push_back(std::move(item));
   }
   transport_->Send(from.address, MakeEnvelope(std::move(grant)));
@@ -353,8 +400,12 @@
     if (account_found == accounts_.end() ||
         account_found->second.owner != from.address)
       continue;
-    account_found->second.tokens.OnGrant(static_cast<int64_t>(item->granted),
-                                         item->short_, now);
+    token_cache& tokens = account_found->second.tokens;
+    tokens.OnGrant(static_cast<int64_t>(item->granted), item->short_, now);
+    tokens.SetShare(
+        {ValidRate(item->share_per_second),
+         ValidRate(item->total_shares_per_second), from.incarnation},
+        now);
   }
   ServeWaitersOf(from.address);
   for (auto& [customer, each] : accounts_) {
--- a/node/token_service.h
+++ b/node/token_service.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "decisions/config_view.h"
+#include "decisions/fallback_shares.h"
 #include "decisions/reason.h"
 #include "decisions/token_bucket.h"
 #include "decisions/token_cache.h"
@@ -36,13 +37,15 @@
 // Invariant: a node grants tokens from its buckets only while a majority of the
 // nodes that are not known to have ended are in its reach. So two nodes grant
 // tokens of the same customer at most until they detect a network partition.
-// Nodes that a partition separates from the owner continue at their last rate.
+// Nodes that a partition separates from the owner continue at their share of
+// the rate, which the owner sets aside for them (fallback_shares).
 class token_service {
  public:
   token_service(loop* loop,
                 peer_transport* transport,
                 std::string own_address,
                 std::string own_name,
+                uint64_t incarnation,
                 metrics* counters);
   ~token_service();
   token_service(const token_service&) = delete;
@@ -91,9 +94,23 @@
   bool OwnsBucket(const std::string& customer, const account& checked) const;
   bool IsOwnerReachable(const account& checked) const;
   account* FindAccount(const std::string& customer);
-  int64_t GrantLocally(const std::string& customer,
-                       int64_t wanted,
-                       bool* is_short);
+  // State of a customer's rate at its owner.
+  struct owned_rate {
+    token_bucket bucket;
+    fallback_shares shares;
+  };
+  struct grant_result {
+    int64_t granted = 0;
+    bool is_short = false;
+    fallback_share share;
+  };
+
+  // Grants tokens to a node, which may be this one, and sets its share.
+  grant_result Grant(const std::string& customer,
+                     const peer_info& node,
+                     int64_t wanted,
+                     const fallback_share& held,
+                     uint64_t generated);
   void ScheduleRequest(const std::string& owner);
   void SendRequest(const std::string& owner);
   void OnRequestTimeout(const std::string& owner);
@@ -107,14 +124,15 @@
   peer_transport* transport_;
   std::string own_address_;
   std::string own_name_;
+  uint64_t incarnation_;
   std::shared_ptr<const config_view> config_ =
       std::make_shared<const config_view>();
   token_members members_;
   // Names of the nodes that may own a bucket, by peer address.
   std::map<std::string, std::string> owner_candidates_;
-  // By customer; the buckets are those that this node owns.
+  // By customer; the second are those that this node owns.
   std::map<std::string, account> accounts_;
-  std::map<std::string, token_bucket> buckets_;
+  std::map<std::string, owned_rate> owned_rates_;
   // By peer address.
   std::map<std::string, owner_session> owner_sessions_;
   prometheus::Counter& granted_;
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -5390,6 +5390,10 @@
   uint64_t wanted = 0;
   uint64_t used = 0;
   uint64_t rate = 0;
+  double share_per_second = 0.0;
+  double total_shares_per_second = 0.0;
+  uint64_t share_granted_by = 0;
+  uint64_t generated = 0;
 };
 
 struct token_want FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5400,7 +5404,11 @@
     VT_CUSTOMER = 4,
     VT_WANTED = 6,
     VT_USED = 8,
-    VT_RATE = 10
+    VT_RATE = 10,
+    VT_SHARE_PER_SECOND = 12,
+    VT_TOTAL_SHARES_PER_SECOND = 14,
+    VT_SHARE_GRANTED_BY = 16,
+    VT_GENERATED = 18
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -5414,6 +5422,18 @@
   uint64_t rate() const {
     return GetField<uint64_t>(VT_RATE, 0);
   }
+  double share_per_second() const {
+    return GetField<double>(VT_SHARE_PER_SECOND, 0.0);
+  }
+  double total_shares_per_second() const {
+    return GetField<double>(VT_TOTAL_SHARES_PER_SECOND, 0.0);
+  }
+  uint64_t share_granted_by() const {
+    return GetField<uint64_t>(VT_SHARE_GRANTED_BY, 0);
+  }
+  uint64_t generated() const {
+    return GetField<uint64_t>(VT_GENERATED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
@@ -5421,6 +5441,10 @@
            VerifyField<uint64_t>(verifier, VT_WANTED, 8) &&
            VerifyField<uint64_t>(verifier, VT_USED, 8) &&
            VerifyField<uint64_t>(verifier, VT_RATE, 8) &&
+           VerifyField<double>(verifier, VT_SHARE_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_TOTAL_SHARES_PER_SECOND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SHARE_GRANTED_BY, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATED, 8) &&
            verifier.EndTable();
   }
   token_wantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5444,6 +5468,18 @@
   void add_rate(uint64_t rate) {
     fbb_.AddElement<uint64_t>(token_want::VT_RATE, rate, 0);
   }
+  void add_share_per_second(double share_per_second) {
+    fbb_.AddElement<double>(token_want::VT_SHARE_PER_SECOND, share_per_second, 0.0);
+  }
+  void add_total_shares_per_second(double total_shares_per_second) {
+    fbb_.AddElement<double>(token_want::VT_TOTAL_SHARES_PER_SECOND, total_shares_per_second, 0.0);
+  }
+  void add_share_granted_by(uint64_t share_granted_by) {
+    fbb_.AddElement<uint64_t>(token_want::VT_SHARE_GRANTED_BY, share_granted_by, 0);
+  }
+  void add_generated(uint64_t generated) {
+    fbb_.AddElement<uint64_t>(token_want::VT_GENERATED, generated, 0);
+  }
   explicit token_wantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5460,8 +5496,16 @@
     flatbuffers::Offset<flatbuffers::String> customer = 0,
     uint64_t wanted = 0,
     uint64_t used = 0,
-    uint64_t rate = 0) {
+    uint64_t rate = 0,
+    double share_per_second = 0.0,
+    double total_shares_per_second = 0.0,
+    uint64_t share_granted_by = 0,
+    uint64_t generated = 0) {
   token_wantBuilder builder_(_fbb);
+  builder_.add_generated(generated);
+  builder_.add_share_granted_by(share_granted_by);
+  builder_.add_total_shares_per_second(total_shares_per_second);
+  builder_.add_share_per_second(share_per_second);
   builder_.add_rate(rate);
   builder_.add_used(used);
   builder_.add_wanted(wanted);
@@ -5479,14 +5523,22 @@
     const char *customer = nullptr,
     uint64_t wanted = 0,
     uint64_t used = 0,
-    uint64_t rate = 0) {
+    uint64_t rate = 0,
+    double share_per_second = 0.0,
+    double total_shares_per_second = 0.0,
+    uint64_t share_granted_by = 0,
+    uint64_t generated = 0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return skylarkhoist::fbs::Createtoken_want(
       _fbb,
       customer__,
       wanted,
       used,
-      rate);
+      rate,
+      share_per_second,
+      total_shares_per_second,
+      share_granted_by,
+      generated);
 }
 
 flatbuffers::Offset<token_want> Createtoken_want(flatbuffers::FlatBufferBuilder &_fbb, const token_wantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5582,6 +5634,8 @@
   std::string customer{};
   uint64_t granted = 0;
   bool short_ = false;
+  double share_per_second = 0.0;
+  double total_shares_per_second = 0.0;
 };
 
 struct token_grant_item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5591,7 +5645,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CUSTOMER = 4,
     VT_GRANTED = 6,
-    VT_SHORT_ = 8
+    VT_SHORT_ = 8,
+    VT_SHARE_PER_SECOND = 10,
+    VT_TOTAL_SHARES_PER_SECOND = 12
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -5602,12 +5658,20 @@
   bool short_() const {
     return GetField<uint8_t>(VT_SHORT_, 0) != 0;
   }
+  double share_per_second() const {
+    return GetField<double>(VT_SHARE_PER_SECOND, 0.0);
+  }
+  double total_shares_per_second() const {
+    return GetField<double>(VT_TOTAL_SHARES_PER_SECOND, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
            verifier.VerifyString(customer()) &&
            VerifyField<uint64_t>(verifier, VT_GRANTED, 8) &&
            VerifyField<uint8_t>(verifier, VT_SHORT_, 1) &&
+           VerifyField<double>(verifier, VT_SHARE_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_TOTAL_SHARES_PER_SECOND, 8) &&
            verifier.EndTable();
   }
   token_grant_itemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5628,6 +5692,12 @@
   void add_short_(bool short_) {
     fbb_.AddElement<uint8_t>(token_grant_item::VT_SHORT_, static_cast<uint8_t>(short_), 0);
   }
+  void add_share_per_second(double share_per_second) {
+    fbb_.AddElement<double>(token_grant_item::VT_SHARE_PER_SECOND, share_per_second, 0.0);
+  }
+  void add_total_shares_per_second(double total_shares_per_second) {
+    fbb_.AddElement<double>(token_grant_item::VT_TOTAL_SHARES_PER_SECOND, total_shares_per_second, 0.0);
+  }
   explicit token_grant_itemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5643,8 +5713,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> customer = 0,
     uint64_t granted = 0,
-    bool short_ = false) {
+    bool short_ = false,
+    double share_per_second = 0.0,
+    double total_shares_per_second = 0.0) {
   token_grant_itemBuilder builder_(_fbb);
+  builder_.add_total_shares_per_second(total_shares_per_second);
+  builder_.add_share_per_second(share_per_second);
   builder_.add_granted(granted);
   builder_.add_customer(customer);
   builder_.add_short_(short_);
@@ -5660,13 +5734,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *customer = nullptr,
     uint64_t granted = 0,
-    bool short_ = false) {
+    bool short_ = false,
+    double share_per_second = 0.0,
+    double total_shares_per_second = 0.0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   return skylarkhoist::fbs::Createtoken_grant_item(
       _fbb,
       customer__,
       granted,
-      short_);
+      short_,
+      share_per_second,
+      total_shares_per_second);
 }
 
 flatbuffers::Offset<token_grant_item> Createtoken_grant_item(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_itemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8841,7 +8919,11 @@
       (lhs.customer == rhs.customer) &&
       (lhs.wanted == rhs.wanted) &&
       (lhs.used == rhs.used) &&
-      (lhs.rate == rhs.rate);
+      (lhs.rate == rhs.rate) &&
+      (lhs.share_per_second == rhs.share_per_second) &&
+      (lhs.total_shares_per_second == rhs.total_shares_per_second) &&
+      (lhs.share_granted_by == rhs.share_granted_by) &&
+      (lhs.generated == rhs.generated);
 }
 
 inline bool operator!=(const token_wantT &lhs, const token_wantT &rhs) {
@@ -8862,6 +8944,10 @@
   { auto _e = wanted(); _o->wanted = _e; }
   { auto _e = used(); _o->used = _e; }
   { auto _e = rate(); _o->rate = _e; }
+  { auto _e = share_per_second(); _o->share_per_second = _e; }
+  { auto _e = total_shares_per_second(); _o->total_shares_per_second = _e; }
+  { auto _e = share_granted_by(); _o->share_granted_by = _e; }
+  { auto _e = generated(); _o->generated = _e; }
 }
 
 inline flatbuffers::Offset<token_want> token_want::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_wantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8876,12 +8962,20 @@
   auto _wanted = _o->wanted;
   auto _used = _o->used;
   auto _rate = _o->rate;
+  auto _share_per_second = _o->share_per_second;
+  auto _total_shares_per_second = _o->total_shares_per_second;
+  auto _share_granted_by = _o->share_granted_by;
+  auto _generated = _o->generated;
   return skylarkhoist::fbs::Createtoken_want(
       _fbb,
       _customer,
       _wanted,
       _used,
-      _rate);
+      _rate,
+      _share_per_second,
+      _total_shares_per_second,
+      _share_granted_by,
+      _generated);
 }
 
 
@@ -8942,7 +9036,9 @@
   return
       (lhs.customer == rhs.customer) &&
       (lhs.granted == rhs.granted) &&
-      (lhs.short_ == rhs.short_);
+      (lhs.short_ == rhs.short_) &&
+      (lhs.share_per_second == rhs.share_per_second) &&
+      (lhs.total_shares_per_second == rhs.total_shares_per_second);
 }
 
 inline bool operator!=(const token_grant_itemT &lhs, const token_grant_itemT &rhs) {
@@ -8962,6 +9058,8 @@
   { auto _e = customer(); if (_e) _o->customer = _e->str(); }
   { auto _e = granted(); _o->granted = _e; }
   { auto _e = short_(); _o->short_ = _e; }
+  { auto _e = share_per_second(); _o->share_per_second = _e; }
+  { auto _e = total_shares_per_second(); _o->total_shares_per_second = _e; }
 }
 
 inline flatbuffers::Offset<token_grant_item> token_grant_item::Pack(flatbuffers::FlatBufferBuilder &_fbb, const token_grant_itemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8975,11 +9073,15 @@
   auto _customer = _o->customer.empty() ? 0 : _fbb.CreateString(_o->customer);
   auto _granted = _o->granted;
   auto _short_ = _o->short_;
+  auto _share_per_second = _o->share_per_second;
+  auto _total_shares_per_second = _o->total_shares_per_second;
   return skylarkhoist::fbs::Createtoken_grant_item(
       _fbb,
       _customer,
       _granted,
-      _short_);
+      _short_,
+      _share_per_second,
+      _total_shares_per_second);
 }
 
 
