Take no tokens for nodes in reach that have little demand

Cause: the owner of a token bucket took the share of each node that it had not heard from for 0.7 s, also of nodes in reach. In a large fleet most nodes use a customer's rate rarely, so a good part of the rate was missing from the bucket at any time.

Change: a node in reach counts as out of contact only once it could have used five tokens since the last contact.

Test, failing before: fallback_shares NodesWithLittleDemandCostNothing.

--- a/decisions/fallback_shares.cc
+++ b/decisions/fallback_shares.cc
@@ -9,8 +9,10 @@
 // Time constant of the average use.
 constexpr double kAverageSeconds = 1.0;
 
-// A node that uses its share contacts the owner more often than this.
+// A node that uses its share contacts the owner more often than this, or than
+// it uses up this many tokens.
 constexpr duration kMaxContactGap = std::chrono::milliseconds(700);
+constexpr double kMaxTokensBetweenContacts = 5;
 
 // A node that has been out of contact for longer, and is still in reach, has no
 // demand: a partition would have been noticed.
@@ -83,7 +85,8 @@
       continue;
     }
     ++each;
-    if (silence <= kMaxContactGap)
+    if (silence <= kMaxContactGap ||
+        (live && known.share * Seconds(silence) <= kMaxTokensBetweenContacts))
       continue;
     const time_point end =
         live ? std::min(now, known.heard_at + kDetectionTime) : now;
--- a/decisions/fallback_shares_test.cc
+++ b/decisions/fallback_shares_test.cc
@@ -91,6 +91,22 @@
   DOUBLES_EQUAL(0, Reserved(shares), 1e-6);
 }
 
+// Load pattern: a large fleet, in which each node has little demand and
+// contacts the owner rarely. Guards against reservations for nodes that are in
+// reach.
+TEST(fallback_shares, NodesWithLittleDemandCostNothing) {
+  double reserved = 0;
+  for (int round = 0; round < 20; ++round) {
+    for (int node = 0; node < 100; ++node) {
+      now += milliseconds(15);
+      const double charged = Contact(shares, "n" + std::to_string(node), 1);
+      DOUBLES_EQUAL(0, charged, 1e-6);
+      reserved += Reserved(shares);
+    }
+  }
+  DOUBLES_EQUAL(0, reserved, 1e-6);
+}
+
 // Guards against a rate that is reduced without end for nodes that have no
 // demand, or are gone.
 TEST(fallback_shares, AReservationEnds) {
