Reserve shares of a rate only for nodes that are cut off

Cause: the owner of a token bucket reserved shares for nodes in reach that were idle or rarely used, and a new owner those that nodes had not reported yet.

Change: tokens are taken only for nodes that the directory knew in reach and now knows as out of reach (reach_history), and for silent nodes with a share of 2 tokens per second or more, which contact the owner each 0.2 s until they give up the share. A new owner inherits only while nodes are out of reach, and at most three times their even part of the rate; nodes tell it their shares at once. A node without a share keeps the minimum of before. Sums over the nodes are kept, so that a grant no longer visits all of them.

--- a/decisions/fallback_shares_test.cc
+++ b/decisions/fallback_shares_test.cc
@@ -33,7 +33,15 @@
 
   double Reserved(fallback_shares & owner) {
     return owner.TakeReserved(
-        [this](const std::string& node) { return lost.count(node) == 0; }, now);
+        [this](const std::string& node) {
+          return lost.count(node) == 0 ? node_reach::kLive : node_reach::kLost;
+        },
+        {lost.size(), lost.size(), 2 + lost.size()}, kRate, 0, now);
+  }
+
+  // A node tells its share and asks for nothing.
+  double Tell(fallback_shares & owner, const std::string& node) {
+    return owner.OnContact(node, 1, held[node], generated[node], now);
   }
 
   double SumOfShares() const {
@@ -127,6 +135,60 @@
   DOUBLES_EQUAL(0, Reserved(shares), 1e-6);
 }
 
+// Guards against shares of nodes in reach that a new owner reserves because
+// they were not reported to it, and against a lost node that takes a large part
+// of the rate.
+TEST(fallback_shares, ANewOwnerInheritsOnlyForLostNodes) {
+  Use(seconds(5));
+  fallback_shares next{8, now};
+  double reserved = 0;
+  const auto run = [&](size_t lost) {
+    for (int i = 0; i < 20; ++i) {
+      now += milliseconds(100);
+      Contact(next, "b", 2);
+      reserved += next.TakeReserved(
+          [](const std::string&) { return node_reach::kLive; },
+          {lost, lost, 100}, kRate, 0, now);
+    }
+  };
+  run(0);
+  DOUBLES_EQUAL(0, reserved, 1e-6);
+  run(1);
+  DOUBLES_EQUAL(kRate * 0.03 * 2, reserved, 0.5);
+}
+
+// Guards against an owner that grants the rate to its side of a partition
+// until the loss of the other side is known, and against one that takes tokens
+// for nodes whose demand has ended or while it did not run itself.
+TEST(fallback_shares, WatchesNodesWithLargeSharesOnly) {
+  Use(seconds(5));
+  double reserved = 0;
+  const auto run = [&](bool a_tells) {
+    for (int i = 0; i < 20; ++i) {
+      now += milliseconds(100);
+      if (a_tells)
+        reserved += Tell(shares, "a");
+      Contact(shares, "b", 2);
+      reserved += Reserved(shares);
+    }
+  };
+  run(true);
+  DOUBLES_EQUAL(0, reserved, 1e-6);
+  // The owner did not run.
+  now += seconds(3);
+  DOUBLES_EQUAL(0, Reserved(shares), 1e-6);
+  run(true);
+  DOUBLES_EQUAL(0, reserved, 1e-6);
+  const double share_of_a = held["a"].per_second;
+  run(false);
+  DOUBLES_EQUAL(share_of_a * 2, reserved, share_of_a * 0.11);
+  // It was paused, and gives up its share.
+  held["a"] = fallback_share();
+  reserved += Tell(shares, "a");
+  run(false);
+  DOUBLES_EQUAL(0, reserved, 1e-6);
+}
+
 // Guards against tokens that a node generated although it was in reach, since
 // the owner answered too late, and that are granted again.
 TEST(fallback_shares, ChargesGeneratedTokens) {
@@ -142,6 +204,7 @@
   Use(seconds(5));
   const double share_of_a = held["a"].per_second;
   now += seconds(2);
+  lost.insert("a");
   fallback_shares next{8, now};
   Contact(next, "b", 0);
   Reserved(next);
@@ -154,6 +217,7 @@
   DOUBLES_EQUAL(share_of_a * 2, reserved, 6);
   CHECK_TRUE(held["b"].per_second + share_of_a <= kRate + 1e-6);
   // A node that returns brings its share back.
+  lost.clear();
   Contact(next, "a", 0);
   now += milliseconds(100);
   Contact(next, "a", 0);
--- a/decisions/token_cache.cc
+++ b/decisions/token_cache.cc
@@ -37,6 +37,16 @@
     held_ = 0;
 }
 
+bool token_cache::GiveUpIdleShare(time_point now) {
+  if (share_.granted_by == 0 ||
+      (now - last_used_at_ <= fallback_shares::kMaxIdleTime &&
+       now - share_granted_at_ <= fallback_shares::kRetention))
+    return false;
+  share_ = fallback_share();
+  fallback_tokens_ = 0;
+  return true;
+}
+
 void token_cache::RecordDemand(time_point now) {
   UpdateAverage(now);
   demand_per_second_ += 1.0 / kAverageSeconds;
@@ -44,11 +54,7 @@
 
 bool token_cache::Take(bool bucket_reachable, time_point now) {
   UpdateAverage(now);
-  if (now - last_used_at_ > fallback_shares::kMaxIdleTime ||
-      now - share_granted_at_ > fallback_shares::kRetention) {
-    share_ = fallback_share();
-    fallback_tokens_ = 0;
-  }
+  GiveUpIdleShare(now);
   last_used_at_ = now;
   if (held_ > 0) {
     --held_;
@@ -59,10 +65,10 @@
     fallback_tokens_ = 0;
     return false;
   }
-  const double burst = std::max(1.0, share_.per_second * kPrefetchSeconds);
-  fallback_tokens_ =
-      std::min(burst, fallback_tokens_ + Seconds(now - fallback_refilled_at_) *
-                                             share_.per_second);
+  const double rate = share_.granted_by == 0 ? min_share_ : share_.per_second;
+  const double burst = std::max(1.0, rate * kPrefetchSeconds);
+  fallback_tokens_ = std::min(
+      burst, fallback_tokens_ + Seconds(now - fallback_refilled_at_) * rate);
   fallback_refilled_at_ = now;
   if (fallback_tokens_ < 1.0)
     return false;
--- a/decisions/token_cache.h
+++ b/decisions/token_cache.h
@@ -18,11 +18,19 @@
  public:
   void SetRate(double per_second);
 
+  // Sets the rate at which this node may generate tokens without a share, for
+  // example because it has had no demand for a while.
+  void SetMinShare(double per_second) { min_share_ = per_second; }
+
   // Sets the rate at which this node may generate tokens, `now` when the owner
   // of the bucket has answered.
   void SetShare(const fallback_share& share, time_point now);
   const fallback_share& share() const { return share_; }
 
+  // Gives up the share after a time without demand. Returns whether there was
+  // one.
+  bool GiveUpIdleShare(time_point now);
+
   // Number of tokens that this node has ever generated.
   uint64_t generated() const { return generated_; }
 
@@ -51,6 +59,7 @@
   }
 
   int64_t held() const { return held_; }
+  time_point last_used_at() const { return last_used_at_; }
 
  private:
   // Tokens are requested for the demand of this time.
@@ -70,6 +79,7 @@
   double demand_per_second_ = 0;
   time_point averaged_at_;
   fallback_share share_;
+  double min_share_ = 0;
   time_point share_granted_at_;
   uint64_t generated_ = 0;
   double fallback_tokens_ = 0;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -262,6 +262,7 @@
   UpdateReader();
   token_members members;
   members.has_majority = directory_.HasMajority();
+  members.out_of_reach = directory_.OutOfReach();
   for (const node_view& node : directory_.LiveViews()) {
     members.names.emplace(node.address, node.name);
     members.all_limit_owners =
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -521,25 +521,38 @@
   return each.linked ? node_status::kLive : node_status::kLost;
 }
 
-bool node_directory::HasMajority() const {
-  size_t running = 1;
-  size_t live = 1;
-  const auto count = [&](node_status status) {
-    running += status == node_status::kEnded ? 0 : 1;
-    live += status == node_status::kLive ? 1 : 0;
-  };
+void node_directory::VisitStatuses(
+    const std::function<void(const std::string&, node_status)>& visit) const {
   for (const auto& [address, each] : members_)
-    count(StatusOf(address, each));
+    visit(address, StatusOf(address, each));
   for (const node_view* node : views_.other_zones().Nodes()) {
     if (members_.count(node->address) > 0)
       continue;
     const bool counts_as_lost =
         node->status == node_status::kLive && !views_.IsInReach(node->zone);
-    count(counts_as_lost ? node_status::kLost : node->status);
+    visit(node->address, counts_as_lost ? node_status::kLost : node->status);
   }
+}
+
+bool node_directory::HasMajority() const {
+  size_t running = 1;
+  size_t live = 1;
+  VisitStatuses([&](const std::string& /*address*/, node_status status) {
+    running += status == node_status::kEnded ? 0 : 1;
+    live += status == node_status::kLive ? 1 : 0;
+  });
   return live * 2 > running;
 }
 
+std::set<std::string> node_directory::OutOfReach() const {
+  std::set<std::string> found;
+  VisitStatuses([&](const std::string& address, node_status status) {
+    if (status == node_status::kLost)
+      found.insert(address);
+  });
+  return found;
+}
+
 zone_roles node_directory::Roles() const {
   if (!allows_roles_)
     return {};
--- a/node/node_directory.h
+++ b/node/node_directory.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -124,6 +125,10 @@
     members_changed_callback_ = std::move(callback);
   }
 
+  // Peer addresses of the nodes that are out of reach and not known to have
+  // ended, also of those that have never been in reach.
+  std::set<std::string> OutOfReach() const;
+
   // The nodes that are live and in reach, beginning with this one.
   std::vector<node_view> LiveViews() const;
 
@@ -172,6 +177,10 @@
   void UpdateOwnView();
   void UpdateView(const std::string& address, const member& each);
   bool HasFailedLink(const node_view& node) const;
+  // Calls `visit` for each known node but this one, with its status as used for
+  // the majority.
+  void VisitStatuses(
+      const std::function<void(const std::string&, node_status)>& visit) const;
   // The status of a known node as used for the majority.
   node_status StatusOf(const std::string& address, const member& each) const;
   void AddTargets(const node_view_table& table,
--- a/node/token_service.cc
+++ b/node/token_service.cc
@@ -36,6 +36,27 @@
 // share of all nodes.
 constexpr double kMinShareOfEvenShare = 0.25;
 
+// An owner counts a share that was used within this time.
+constexpr duration kMaxShareAge =
+    fallback_shares::kMaxIdleTime + fallback_shares::kDetectionTime;
+
+std::unique_ptr<fbs::token_wantT> MakeWant(const std::string& customer,
+                                           int64_t wanted,
+                                           const token_cache& tokens) {
+  auto want = std::make_unique<fbs::token_wantT>();
+  want->customer = customer;
+  want->wanted = static_cast<uint64_t>(wanted);
+  const fallback_share& share = tokens.share();
+  want->share_per_second = share.per_second;
+  want->total_shares_per_second = share.total_per_second;
+  want->share_granted_by = share.granted_by;
+  want->generated = tokens.generated();
+  return want;
+}
+
+// Number of a request that only tells shares; its answer grants nothing.
+constexpr uint64_t kShareRound = 0;
+
 // A rate from a message, which may be damaged.
 double ValidRate(double per_second) {
   return std::isfinite(per_second) && per_second > 0 ? per_second : 0;
@@ -60,6 +81,7 @@
       own_address_(std::move(own_address)),
       own_name_(std::move(own_name)),
       incarnation_(incarnation),
+      history_(own_address_),
       granted_(counters->Counter("skylarkhoist_tokens_total",
                                  "Requests for rate tokens by result",
                                  {{"result", "granted"}})),
@@ -69,7 +91,10 @@
       granted_without_owner_(
           counters->Counter("skylarkhoist_tokens_total",
                             "Requests for rate tokens by result",
-                            {{"result", "granted_without_mint"}})) {
+                            {{"result", "granted_without_mint"}})),
+      reserved_(counters->Counter(
+          "skylarkhoist_tokens_reserved_total",
+          "Rate tokens taken from buckets for nodes out of contact")) {
   members_.names = {{own_address_, own_name_}};
   ChooseOwnerCandidates();
 }
@@ -77,6 +102,7 @@
 token_service::~token_service() {
   for (auto& [address, each] : owner_sessions_)
     loop_->Cancel(each.timer);
+  loop_->Cancel(keep_timer_);
 }
 
 void token_service::SetConfig(std::shared_ptr<const config_view> config) {
@@ -97,6 +123,10 @@
 
 void token_service::SetMembers(const token_members& members) {
   members_ = members;
+  std::set<std::string> live;
+  for (const auto& [address, name] : members_.names)
+    live.insert(address);
+  history_.Update(live, members_.out_of_reach, loop_->Now());
   // Another node grants tokens until this one has a majority again.
   if (!members_.has_majority)
     owned_rates_.clear();
@@ -142,10 +172,14 @@
 }
 
 void token_service::AssignOwners() {
+  const time_point now = loop_->Now();
+  std::map<std::string, std::vector<std::string>> shares_by_owner;
   for (auto& [customer, each] : accounts_) {
     const auto rate = config_->rates.find(customer);
-    if (rate != config_->rates.end())
+    if (rate != config_->rates.end()) {
       each.tokens.SetRate(rate->second.per_second);
+      each.tokens.SetMinShare(MinShare(customer));
+    }
     std::string owner = OwnerOf(customer);
     if (owner == each.owner)
       continue;
@@ -153,10 +187,60 @@
     if (each.owner == own_address_)
       owned_rates_.erase(customer);
     each.owner = std::move(owner);
+    each.must_tell_share = false;
+    if (each.tokens.share().per_second > 0 &&
+        now - each.tokens.last_used_at() < kMaxShareAge)
+      shares_by_owner[each.owner].push_back(customer);
     ServeWaiters(each);
     if (!each.waiters.empty())
       ScheduleRequest(each.owner);
   }
+  for (const auto& [owner, customers] : shares_by_owner)
+    TellShares(owner, customers);
+}
+
+void token_service::TellShares(const std::string& owner,
+                               const std::vector<std::string>& customers) {
+  if (owner.empty() || owner == own_address_)
+    return;
+  fbs::token_requestT request;
+  request.round = kShareRound;
+  for (const std::string& customer : customers) {
+    account& told = accounts_.at(customer);
+    told.share_told_at = loop_->Now();
+    request.wants.push_back(MakeWant(customer, 0, told.tokens));
+  }
+  transport_->Send(owner, MakeEnvelope(std::move(request)));
+}
+
+void token_service::ScheduleKeepShares() {
+  if (keep_timer_ == 0)
+    keep_timer_ = loop_->RunAfter(fallback_shares::kContactInterval, [this] {
+      keep_timer_ = 0;
+      KeepShares();
+    });
+}
+
+void token_service::KeepShares() {
+  const time_point now = loop_->Now();
+  std::map<std::string, std::vector<std::string>> shares_by_owner;
+  bool continues = false;
+  for (auto& [customer, each] : accounts_) {
+    const bool was_watched =
+        each.tokens.share().per_second >= fallback_shares::kMinWatchedShare;
+    if (!was_watched && !each.must_tell_share)
+      continue;
+    const bool gave_up = each.tokens.GiveUpIdleShare(now);
+    continues = continues || (was_watched && !gave_up);
+    if (each.must_tell_share || gave_up ||
+        now - each.share_told_at >= fallback_shares::kContactInterval)
+      shares_by_owner[each.owner].push_back(customer);
+    each.must_tell_share = false;
+  }
+  for (const auto& [owner, customers] : shares_by_owner)
+    TellShares(owner, customers);
+  if (continues)
+    ScheduleKeepShares();
 }
 
 token_service::account* token_service::FindAccount(
@@ -168,6 +252,7 @@
   if (inserted) {
     found->second.owner = OwnerOf(customer);
     found->second.tokens.SetRate(rate->second.per_second);
+    found->second.tokens.SetMinShare(MinShare(customer));
   }
   return &found->second;
 }
@@ -180,6 +265,55 @@
          (found == owner_sessions_.end() || !found->second.unavailable);
 }
 
+double token_service::MinShare(const std::string& customer) const {
+  const size_t known = history_.Counts(loop_->Now()).known;
+  return config_->rates.at(customer).per_second / static_cast<double>(known) *
+         kMinShareOfEvenShare;
+}
+
+token_service::owned_rate& token_service::OwnedRate(
+    const std::string& customer) {
+  const auto found = owned_rates_.find(customer);
+  if (found != owned_rates_.end())
+    return found->second;
+  const time_point now = loop_->Now();
+  const rate_config& rate = config_->rates.at(customer);
+  owned_rate& added =
+      owned_rates_
+          .emplace(customer,
+                   owned_rate{token_bucket(rate.per_second, rate.burst, now),
+                              fallback_shares(incarnation_, now)})
+          .first->second;
+  // The share of this node under the former owner.
+  const auto own = accounts_.find(customer);
+  if (own != accounts_.end())
+    added.shares.OnContact(own_address_, incarnation_,
+                           own->second.tokens.share(),
+                           own->second.tokens.generated(), now);
+  return added;
+}
+
+void token_service::TakeReserved(const std::string& customer,
+                                 owned_rate* from) {
+  const time_point now = loop_->Now();
+  const double taken = from->shares.TakeReserved(
+      [this, now](const std::string& address) {
+        return history_.ReachOf(address, now);
+      },
+      history_.Counts(now), config_->rates.at(customer).per_second,
+      MinShare(customer), now);
+  if (taken > 0) {
+    from->bucket.Charge(taken, now);
+    reserved_.Increment(taken);
+  }
+  const bool has_reserved = from->shares.reserved_per_second() > 0;
+  if (std::exchange(from->has_reserved, has_reserved) != has_reserved)
+    LogStateChange(
+        "tokens", has_reserved ? "shares_reserved" : "shares_returned",
+        {{"customer", customer},
+         {"per_second", std::to_string(from->shares.reserved_per_second())}});
+}
+
 token_service::grant_result token_service::Grant(const std::string& customer,
                                                  const peer_info& node,
                                                  int64_t wanted,
@@ -187,31 +321,18 @@
                                                  uint64_t generated) {
   const time_point now = loop_->Now();
   const rate_config& rate = config_->rates.at(customer);
-  auto found = owned_rates_.find(customer);
-  if (found == owned_rates_.end())
-    found =
-        owned_rates_
-            .emplace(customer,
-                     owned_rate{token_bucket(rate.per_second, rate.burst, now),
-                                fallback_shares(incarnation_, now)})
-            .first;
-  token_bucket& bucket = found->second.bucket;
-  fallback_shares& shares = found->second.shares;
-  const auto is_live = [this](const std::string& address) {
-    return members_.names.count(address) > 0;
-  };
+  owned_rate& owned = OwnedRate(customer);
+  token_bucket& bucket = owned.bucket;
+  fallback_shares& shares = owned.shares;
   bucket.Charge(
-      shares.OnContact(node.address, node.incarnation, held, generated, now) +
-          shares.TakeReserved(is_live, now),
+      shares.OnContact(node.address, node.incarnation, held, generated, now),
       now);
+  TakeReserved(customer, &owned);
   grant_result result;
   result.granted = bucket.Grant(wanted, now);
   result.is_short = bucket.rate_exceeded();
   result.share = shares.ShareAfterGrant(
-      node.address, result.granted, rate.per_second,
-      rate.per_second / static_cast<double>(members_.names.size()) *
-          kMinShareOfEvenShare,
-      now);
+      node.address, result.granted, rate.per_second, MinShare(customer), now);
   return result;
 }
 
@@ -287,15 +408,8 @@
         static_cast<int64_t>(each.waiters.size()), now);
     if (wanted <= 0)
       continue;
-    auto want = std::make_unique<fbs::token_wantT>();
-    want->customer = customer;
-    want->wanted = static_cast<uint64_t>(wanted);
-    const fallback_share& share = each.tokens.share();
-    want->share_per_second = share.per_second;
-    want->total_shares_per_second = share.total_per_second;
-    want->share_granted_by = share.granted_by;
-    want->generated = each.tokens.generated();
-    request.wants.push_back(std::move(want));
+    each.share_told_at = now;
+    request.wants.push_back(MakeWant(customer, wanted, each.tokens));
   }
   if (request.wants.empty())
     return;
@@ -366,13 +480,22 @@
       grant.not_owner = true;
       continue;
     }
+    const fallback_share held = {ValidRate(want->share_per_second),
+                                 ValidRate(want->total_shares_per_second),
+                                 want->share_granted_by};
+    if (request.round == kShareRound) {
+      owned_rate& owned = OwnedRate(want->customer);
+      owned.bucket.Charge(
+          owned.shares.OnContact(from.address, from.incarnation, held,
+                                 want->generated, loop_->Now()),
+          loop_->Now());
+      continue;
+    }
     auto item = std::make_unique<fbs::token_grant_itemT>();
     item->customer = want->customer;
-    const grant_result result = Grant(
-        want->customer, from, static_cast<int64_t>(want->wanted),
-        {ValidRate(want->share_per_second),
-         ValidRate(want->total_shares_per_second), want->share_granted_by},
-        want->generated);
+    const grant_result result =
+        Grant(want->customer, from, static_cast<int64_t>(want->wanted), held,
+              want->generated);
     item->granted = static_cast<uint64_t>(result.granted);
     item->short_ = result.is_short;
     item->share_per_second = result.share.per_second;
@@ -384,6 +507,17 @@
 
 void token_service::HandleGrant(const peer_info& from,
                                 const fbs::token_grantT& grant) {
+  if (grant.round == kShareRound) {
+    // The node does not know yet that it is the owner.
+    for (auto& [customer, each] : accounts_) {
+      if (grant.not_owner && each.owner == from.address &&
+          each.tokens.share().per_second > 0) {
+        each.must_tell_share = true;
+        ScheduleKeepShares();
+      }
+    }
+    return;
+  }
   const auto found = owner_sessions_.find(from.address);
   if (found == owner_sessions_.end() || found->second.round != grant.round)
     return;
@@ -406,6 +540,8 @@
         {ValidRate(item->share_per_second),
          ValidRate(item->total_shares_per_second), from.incarnation},
         now);
+    if (tokens.share().per_second >= fallback_shares::kMinWatchedShare)
+      ScheduleKeepShares();
   }
   ServeWaitersOf(from.address);
   for (auto& [customer, each] : accounts_) {
--- a/node/token_service.h
+++ b/node/token_service.h
@@ -6,10 +6,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "decisions/config_view.h"
 #include "decisions/fallback_shares.h"
+#include "decisions/reach_history.h"
 #include "decisions/reason.h"
 #include "decisions/token_bucket.h"
 #include "decisions/token_cache.h"
@@ -23,6 +26,9 @@
 struct token_members {
   // Names of this node and of the live nodes in its reach, by peer address.
   std::map<std::string, std::string> names;
+  // Peer addresses of the nodes that are out of reach and not known to have
+  // ended.
+  std::set<std::string> out_of_reach;
   // They are a majority of the nodes that are not known to have ended.
   bool has_majority = false;
   // All of them choose owners among a few nodes only, as this version does.
@@ -76,6 +82,10 @@
     std::deque<waiter> waiters;
     // Peer address of the node with the token bucket; empty while unknown.
     std::string owner;
+    // When the owner was last told this node's share.
+    time_point share_told_at;
+    // The owner was not ready to learn the share.
+    bool must_tell_share = false;
   };
   // State of the token requests to one owner.
   struct owner_session {
@@ -98,6 +108,8 @@
   struct owned_rate {
     token_bucket bucket;
     fallback_shares shares;
+    // Tokens are reserved for nodes out of contact.
+    bool has_reserved = false;
   };
   struct grant_result {
     int64_t granted = 0;
@@ -111,6 +123,17 @@
                      int64_t wanted,
                      const fallback_share& held,
                      uint64_t generated);
+  // Tokens per second of a node that uses little of the customer's rate.
+  double MinShare(const std::string& customer) const;
+  owned_rate& OwnedRate(const std::string& customer);
+  // Takes the tokens of nodes out of contact from the bucket.
+  void TakeReserved(const std::string& customer, owned_rate* from);
+  // Tells an owner, without a request for tokens, which shares this node holds
+  // or has given up.
+  void TellShares(const std::string& owner,
+                  const std::vector<std::string>& customers);
+  void KeepShares();
+  void ScheduleKeepShares();
   void ScheduleRequest(const std::string& owner);
   void SendRequest(const std::string& owner);
   void OnRequestTimeout(const std::string& owner);
@@ -128,6 +151,7 @@
   std::shared_ptr<const config_view> config_ =
       std::make_shared<const config_view>();
   token_members members_;
+  reach_history history_;
   // Names of the nodes that may own a bucket, by peer address.
   std::map<std::string, std::string> owner_candidates_;
   // By customer; the second are those that this node owns.
@@ -138,6 +162,8 @@
   prometheus::Counter& granted_;
   prometheus::Counter& refused_;
   prometheus::Counter& granted_without_owner_;
+  prometheus::Counter& reserved_;
+  timer_id keep_timer_ = 0;
 };
 
 }  // namespace skylarkhoist
