--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -131,6 +131,7 @@
               &transport_,
               options_.peer_address,
               options_.name,
+              options_.incarnation,
               parts.counters) {
   entry_.SetRateTokenAcquirer([this](const std::string& customer,
                                      time_point /*deadline*/,
@@ -292,6 +293,7 @@
   UpdateReader();
   token_members members;
   members.has_majority = directory_.HasMajority();
+  members.out_of_reach = directory_.OutOfReach();
   for (const node_view& node : directory_.LiveViews()) {
     members.names.emplace(node.address, node.name);
     members.all_limit_owners =
--- a/node/token_service.cc
+++ b/node/token_service.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,36 @@
 // them fall on the same nodes.
 constexpr uint64_t kOwnerSeed = 1;
 
+// Share of a node that uses little of a customer's rate, as a part of the even
+// share of all nodes.
+constexpr double kMinShareOfEvenShare = 0.25;
+
+// An owner counts a share that was used within this time.
+constexpr duration kMaxShareAge =
+    fallback_shares::kMaxIdleTime + fallback_shares::kDetectionTime;
+
+std::unique_ptr<fbs::token_wantT> MakeWant(const std::string& customer,
+                                           int64_t wanted,
+                                           const token_cache& tokens) {
+  auto want = std::make_unique<fbs::token_wantT>();
+  want->customer = customer;
+  want->wanted = static_cast<uint64_t>(wanted);
+  const fallback_share& share = tokens.share();
+  want->share_per_second = share.per_second;
+  want->total_shares_per_second = share.total_per_second;
+  want->share_granted_by = share.granted_by;
+  want->generated = tokens.generated();
+  return want;
+}
+
+// Number of a request that only tells shares; its answer grants nothing.
+constexpr uint64_t kShareRound = 0;
+
+// A rate from a message, which may be damaged.
+double ValidRate(double per_second) {
+  return std::isfinite(per_second) && per_second > 0 ? per_second : 0;
+}
+
 uint64_t RendezvousWeight(const std::string& customer,
                           const std::string& node) {
   const uint64_t seed = XXH64(customer.data(), customer.size(), 0);
@@ -43,11 +74,14 @@
                              peer_transport* transport,
                              std::string own_address,
                              std::string own_name,
+                             uint64_t incarnation,
                              metrics* counters)
     : loop_(loop),
       transport_(transport),
       own_address_(std::move(own_address)),
       own_name_(std::move(own_name)),
+      incarnation_(incarnation),
+      history_(own_address_),
       granted_(counters->Counter("skylarkhoist_tokens_total",
                                  "Requests for rate tokens by result",
                                  {{"result", "granted"}})),
@@ -57,7 +91,10 @@
       granted_without_owner_(
           counters->Counter("skylarkhoist_tokens_total",
                             "Requests for rate tokens by result",
-                            {{"result", "granted_without_mint"}})) {
+                            {{"result", "granted_without_mint"}})),
+      reserved_(counters->Counter(
+          "skylarkhoist_tokens_reserved_total",
+          "Rate tokens taken from buckets for nodes out of contact")) {
   members_.names = {{own_address_, own_name_}};
   ChooseOwnerCandidates();
 }
@@ -65,18 +102,20 @@
 token_service::~token_service() {
   for (auto& [address, each] : owner_sessions_)
     loop_->Cancel(each.timer);
+  loop_->Cancel(keep_timer_);
 }
 
 void token_service::SetConfig(std::shared_ptr<const config_view> config) {
   config_ = std::move(config);
   const time_point now = loop_->Now();
-  for (auto each = buckets_.begin(); each != buckets_.end();) {
+  for (auto each = owned_rates_.begin(); each != owned_rates_.end();) {
     const auto rate = config_->rates.find(each->first);
     if (rate == config_->rates.end()) {
-      each = buckets_.erase(each);
+      each = owned_rates_.erase(each);
       continue;
     }
-    each->second.SetRate(rate->second.per_second, rate->second.burst, now);
+    each->second.bucket.SetRate(rate->second.per_second, rate->second.burst,
+                                now);
     ++each;
   }
   AssignOwners();
@@ -84,6 +123,13 @@
 
 void token_service::SetMembers(const token_members& members) {
   members_ = members;
+  std::set<std::string> live;
+  for (const auto& [address, name] : members_.names)
+    live.insert(address);
+  history_.Update(live, members_.out_of_reach, loop_->Now());
+  // Another node grants tokens until this one has a majority again.
+  if (!members_.has_majority)
+    owned_rates_.clear();
   ChooseOwnerCandidates();
   for (auto each = owner_sessions_.begin(); each != owner_sessions_.end();) {
     if (members_.names.count(each->first) > 0) {
@@ -126,24 +172,75 @@
 }
 
 void token_service::AssignOwners() {
+  const time_point now = loop_->Now();
+  std::map<std::string, std::vector<std::string>> shares_by_owner;
   for (auto& [customer, each] : accounts_) {
     const auto rate = config_->rates.find(customer);
     if (rate != config_->rates.end()) {
-      each.tokens.SetRate(
-          rate->second.per_second,
-          rate->second.per_second / static_cast<double>(members_.names.size()));
+      each.tokens.SetRate(rate->second.per_second);
+      each.tokens.SetMinShare(MinShare(customer));
     }
     std::string owner = OwnerOf(customer);
     if (owner == each.owner)
       continue;
     // Another node owns the bucket now, so the level of this one is outdated.
     if (each.owner == own_address_)
-      buckets_.erase(customer);
+      owned_rates_.erase(customer);
     each.owner = std::move(owner);
+    each.must_tell_share = false;
+    if (each.tokens.share().per_second > 0 &&
+        now - each.tokens.last_used_at() < kMaxShareAge)
+      shares_by_owner[each.owner].push_back(customer);
     ServeWaiters(each);
     if (!each.waiters.empty())
       ScheduleRequest(each.owner);
   }
+  for (const auto& [owner, customers] : shares_by_owner)
+    TellShares(owner, customers);
+}
+
+void token_service::TellShares(const std::string& owner,
+                               const std::vector<std::string>& customers) {
+  if (owner.empty() || owner == own_address_)
+    return;
+  fbs::token_requestT request;
+  request.round = kShareRound;
+  for (const std::string& customer : customers) {
+    account& told = accounts_.at(customer);
+    told.share_told_at = loop_->Now();
+    request.wants.push_back(MakeWant(customer, 0, told.tokens));
+  }
+  transport_->Send(owner, MakeEnvelope(std::move(request)));
+}
+
+void token_service::ScheduleKeepShares() {
+  if (keep_timer_ == 0)
+    keep_timer_ = loop_->RunAfter(fallback_shares::kContactInterval, [this] {
+      keep_timer_ = 0;
+      KeepShares();
+    });
+}
+
+void token_service::KeepShares() {
+  const time_point now = loop_->Now();
+  std::map<std::string, std::vector<std::string>> shares_by_owner;
+  bool continues = false;
+  for (auto& [customer, each] : accounts_) {
+    const bool was_watched =
+        each.tokens.share().per_second >= fallback_shares::kMinWatchedShare;
+    if (!was_watched && !each.must_tell_share)
+      continue;
+    const bool gave_up = each.tokens.GiveUpIdleShare(now);
+    continues = continues || (was_watched && !gave_up);
+    if (each.must_tell_share || gave_up ||
+        now - each.share_told_at >= fallback_shares::kContactInterval / 2)
+      shares_by_owner[each.owner].push_back(customer);
+    each.must_tell_share = false;
+  }
+  for (const auto& [owner, customers] : shares_by_owner)
+    TellShares(owner, customers);
+  if (continues)
+    ScheduleKeepShares();
 }
 
 token_service::account* token_service::FindAccount(
@@ -154,9 +251,8 @@
   const auto [found, inserted] = accounts_.try_emplace(customer);
   if (inserted) {
     found->second.owner = OwnerOf(customer);
-    found->second.tokens.SetRate(
-        rate->second.per_second,
-        rate->second.per_second / static_cast<double>(members_.names.size()));
+    found->second.tokens.SetRate(rate->second.per_second);
+    found->second.tokens.SetMinShare(MinShare(customer));
   }
   return &found->second;
 }
@@ -169,17 +265,75 @@
          (found == owner_sessions_.end() || !found->second.unavailable);
 }
 
-int64_t token_service::GrantLocally(const std::string& customer,
-                                    int64_t wanted,
-                                    bool* is_short) {
+double token_service::MinShare(const std::string& customer) const {
+  const size_t known = history_.Counts(loop_->Now()).known;
+  return config_->rates.at(customer).per_second / static_cast<double>(known) *
+         kMinShareOfEvenShare;
+}
+
+token_service::owned_rate& token_service::OwnedRate(
+    const std::string& customer) {
+  const auto found = owned_rates_.find(customer);
+  if (found != owned_rates_.end())
+    return found->second;
   const time_point now = loop_->Now();
   const rate_config& rate = config_->rates.at(customer);
-  token_bucket& bucket =
-      buckets_.try_emplace(customer, rate.per_second, rate.burst, now)
+  owned_rate& added =
+      owned_rates_
+          .emplace(customer,
+                   owned_rate{token_bucket(rate.per_second, rate.burst, now),
+                              fallback_shares(incarnation_, now)})
           .first->second;
-  const int64_t granted = bucket.Grant(wanted, now);
-  *is_short = bucket.rate_exceeded();
-  return granted;
+  // The share of this node under the former owner.
+  const auto own = accounts_.find(customer);
+  if (own != accounts_.end())
+    added.shares.OnContact(own_address_, incarnation_,
+                           own->second.tokens.share(),
+                           own->second.tokens.generated(), now);
+  return added;
+}
+
+void token_service::TakeReserved(const std::string& customer,
+                                 owned_rate* from) {
+  const time_point now = loop_->Now();
+  const double taken = from->shares.TakeReserved(
+      [this, now](const std::string& address) {
+        return history_.ReachOf(address, now);
+      },
+      history_.Counts(now), config_->rates.at(customer).per_second,
+      MinShare(customer), now);
+  if (taken > 0) {
+    from->bucket.Charge(taken, now);
+    reserved_.Increment(taken);
+  }
+  const bool has_reserved = from->shares.reserved_per_second() > 0;
+  if (std::exchange(from->has_reserved, has_reserved) != has_reserved)
+    LogStateChange(
+        "tokens", has_reserved ? "shares_reserved" : "shares_returned",
+        {{"customer", customer},
+         {"per_second", std::to_string(from->shares.reserved_per_second())}});
+}
+
+token_service::grant_result token_service::Grant(const std::string& customer,
+                                                 const peer_info& node,
+                                                 int64_t wanted,
+                                                 const fallback_share& held,
+                                                 uint64_t generated) {
+  const time_point now = loop_->Now();
+  const rate_config& rate = config_->rates.at(customer);
+  owned_rate& owned = OwnedRate(customer);
+  token_bucket& bucket = owned.bucket;
+  fallback_shares& shares = owned.shares;
+  bucket.Charge(
+      shares.OnContact(node.address, node.incarnation, held, generated, now),
+      now);
+  TakeReserved(customer, &owned);
+  grant_result result;
+  result.granted = bucket.Grant(wanted, now);
+  result.is_short = bucket.rate_exceeded();
+  result.share = shares.ShareAfterGrant(
+      node.address, result.granted, rate.per_second, MinShare(customer), now);
+  return result;
 }
 
 void token_service::Acquire(const std::string& customer,
@@ -193,8 +347,12 @@
   found->tokens.RecordDemand(now);
   const bool reachable = IsOwnerReachable(*found);
   if (found->owner == own_address_ && reachable && found->tokens.held() == 0) {
-    bool is_short = false;
-    found->tokens.OnGrant(GrantLocally(customer, 1, &is_short), is_short, now);
+    token_cache& tokens = found->tokens;
+    const grant_result result =
+        Grant(customer, {own_address_, own_name_, "", incarnation_}, 1,
+              tokens.share(), tokens.generated());
+    tokens.OnGrant(result.granted, result.is_short, now);
+    tokens.SetShare(result.share, now);
   }
   if (found->tokens.Take(reachable, now)) {
     (reachable ? granted_ : granted_without_owner_).Increment();
@@ -250,10 +408,8 @@
         static_cast<int64_t>(each.waiters.size()), now);
     if (wanted <= 0)
       continue;
-    auto want = std::make_unique<fbs::token_wantT>();
-    want->customer = customer;
-    want->wanted = static_cast<uint64_t>(wanted);
-    request.wants.push_back(std::move(want));
+    each.share_told_at = now;
+    request.wants.push_back(MakeWant(customer, wanted, each.tokens));
   }
   if (request.wants.empty())
     return;
@@ -324,12 +480,26 @@
       grant.not_owner = true;
       continue;
     }
+    const fallback_share held = {ValidRate(want->share_per_second),
+                                 ValidRate(want->total_shares_per_second),
+                                 want->share_granted_by};
+    if (request.round == kShareRound) {
+      owned_rate& owned = OwnedRate(want->customer);
+      owned.bucket.Charge(
+          owned.shares.OnContact(from.address, from.incarnation, held,
+                                 want->generated, loop_->Now()),
+          loop_->Now());
+      continue;
+    }
     auto item = std::make_unique<fbs::token_grant_itemT>();
     item->customer = want->customer;
-    bool is_short = false;
-    item->granted = static_cast<uint64_t>(GrantLocally(
-        want->customer, static_cast<int64_t>(want->wanted), &is_short));
-    item->short_ = is_short;
+    const grant_result result =
+        Grant(want->customer, from, static_cast<int64_t>(want->wanted), held,
+              want->generated);
+    item->granted = static_cast<uint64_t>(result.granted);
+    item->short_ = result.is_short;
+    item->share_per_second = result.share.per_second;
+    item->total_shares_per_second = result.share.total_per_second;
     grant.grants.push_back(std::move(item));
   }
   transport_->Send(from.address, MakeEnvelope(std::move(grant)));
@@ -337,6 +507,17 @@
 
 void token_service::HandleGrant(const peer_info& from,
                                 const fbs::token_grantT& grant) {
+  if (grant.round == kShareRound) {
+    // The node does not know yet that it is the owner.
+    for (auto& [customer, each] : accounts_) {
+      if (grant.not_owner && each.owner == from.address &&
+          each.tokens.share().per_second > 0) {
+        each.must_tell_share = true;
+        ScheduleKeepShares();
+      }
+    }
+    return;
+  }
   const auto found = owner_sessions_.find(from.address);
   if (found == owner_sessions_.end() || found->second.round != grant.round)
     return;
@@ -353,8 +534,14 @@
     if (account_found == accounts_.end() ||
         account_found->second.owner != from.address)
       continue;
-    account_found->second.tokens.OnGrant(static_cast<int64_t>(item->granted),
-                                         item->short_, now);
+    token_cache& tokens = account_found->second.tokens;
+    tokens.OnGrant(static_cast<int64_t>(item->granted), item->short_, now);
+    tokens.SetShare(
+        {ValidRate(item->share_per_second),
+         ValidRate(item->total_shares_per_second), from.incarnation},
+        now);
+    if (tokens.share().per_second >= fallback_shares::kMinWatchedShare)
+      ScheduleKeepShares();
   }
   ServeWaitersOf(from.address);
   for (auto& [customer, each] : accounts_) {
--- a/node/token_service.h
+++ b/node/token_service.h
@@ -6,9 +6,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "decisions/config_view.h"
+#include "decisions/fallback_shares.h"
+#include "decisions/reach_history.h"
 #include "decisions/reason.h"
 #include "decisions/token_bucket.h"
 #include "decisions/token_cache.h"
@@ -22,6 +26,9 @@
 struct token_members {
   // Names of this node and of the live nodes in its reach, by peer address.
   std::map<std::string, std::string> names;
+  // Peer addresses of the nodes that are out of reach and not known to have
+  // ended.
+  std::set<std::string> out_of_reach;
   // They are a majority of the nodes that are not known to have ended.
   bool has_majority = false;
   // All of them choose owners among a few nodes only, as this version does.
@@ -36,13 +43,15 @@
 // Invariant: a node grants tokens from its buckets only while a majority of the
 // nodes that are not known to have ended are in its reach. So two nodes grant
 // tokens of the same customer at most until they detect a network partition.
-// Nodes that a partition separates from the owner continue at their last rate.
+// Nodes that a partition separates from the owner continue at their share of
+// the rate, which the owner sets aside for them (fallback_shares).
 class token_service {
  public:
   token_service(loop* loop,
                 peer_transport* transport,
                 std::string own_address,
                 std::string own_name,
+                uint64_t incarnation,
                 metrics* counters);
   ~token_service();
   token_service(const token_service&) = delete;
@@ -73,6 +82,10 @@
     std::deque<waiter> waiters;
     // Peer address of the node with the token bucket; empty while unknown.
     std::string owner;
+    // When the owner was last told this node's share.
+    time_point share_told_at;
+    // The owner was not ready to learn the share.
+    bool must_tell_share = false;
   };
   // State of the token requests to one owner.
   struct owner_session {
@@ -91,9 +104,36 @@
   bool OwnsBucket(const std::string& customer, const account& checked) const;
   bool IsOwnerReachable(const account& checked) const;
   account* FindAccount(const std::string& customer);
-  int64_t GrantLocally(const std::string& customer,
-                       int64_t wanted,
-                       bool* is_short);
+  // State of a customer's rate at its owner.
+  struct owned_rate {
+    token_bucket bucket;
+    fallback_shares shares;
+    // Tokens are reserved for nodes out of contact.
+    bool has_reserved = false;
+  };
+  struct grant_result {
+    int64_t granted = 0;
+    bool is_short = false;
+    fallback_share share;
+  };
+
+  // Grants tokens to a node, which may be this one, and sets its share.
+  grant_result Grant(const std::string& customer,
+                     const peer_info& node,
+                     int64_t wanted,
+                     const fallback_share& held,
+                     uint64_t generated);
+  // Tokens per second of a node that uses little of the customer's rate.
+  double MinShare(const std::string& customer) const;
+  owned_rate& OwnedRate(const std::string& customer);
+  // Takes the tokens of nodes out of contact from the bucket.
+  void TakeReserved(const std::string& customer, owned_rate* from);
+  // Tells an owner, without a request for tokens, which shares this node holds
+  // or has given up.
+  void TellShares(const std::string& owner,
+                  const std::vector<std::string>& customers);
+  void KeepShares();
+  void ScheduleKeepShares();
   void ScheduleRequest(const std::string& owner);
   void SendRequest(const std::string& owner);
   void OnRequestTimeout(const std::string& owner);
@@ -107,19 +147,23 @@
   peer_transport* transport_;
   std::string own_address_;
   std::string own_name_;
+  uint64_t incarnation_;
   std::shared_ptr<const config_view> config_ =
       std::make_shared<const config_view>();
   token_members members_;
+  reach_history history_;
   // Names of the nodes that may own a bucket, by peer address.
   std::map<std::string, std::string> owner_candidates_;
-  // By customer; the buckets are those that this node owns.
+  // By customer; the second are those that this node owns.
   std::map<std::string, account> accounts_;
-  std::map<std::string, token_bucket> buckets_;
+  std::map<std::string, owned_rate> owned_rates_;
   // By peer address.
   std::map<std::string, owner_session> owner_sessions_;
   prometheus::Counter& granted_;
   prometheus::Counter& refused_;
   prometheus::Counter& granted_without_owner_;
+  prometheus::Counter& reserved_;
+  timer_id keep_timer_ = 0;
 };
 
 }  // namespace skylarkhoist
