--- a/decisions/node_view_table.h
+++ b/decisions/node_view_table.h
@@ -26,11 +26,13 @@
   bool serving = false;
   uint32_t load_permille = 0;
   uint32_t limit = 0;
+  // Version of the target's program; empty when it names none.
+  std::string version;
 
   bool operator==(const target_view& other) const {
     return service == other.service && address == other.address &&
            serving == other.serving && load_permille == other.load_permille &&
-           limit == other.limit;
+           limit == other.limit && version == other.version;
   }
 };
 
--- a/decisions/routing_policy.h
+++ b/decisions/routing_policy.h
@@ -17,6 +17,8 @@
   // Peer address of the node that runs beside the target.
   std::string node_address;
   uint64_t node_incarnation = 0;
+  // Version of the target's program; empty when it names none.
+  std::string version;
   bool same_zone = false;
   // Number of calls that this node has open at the target.
   int open_calls = 0;
--- a/node/entry.cc
+++ b/node/entry.cc
@@ -483,16 +483,51 @@
     FinishError(call, reason::kDedupUnavailable, fbs::ran_state::kNo);
     return;
   }
+  if (TryNewVersion(call))
+    return;
   const std::vector<route_candidate> candidates = CollectCandidates(*call);
   const auto chosen = routing_->Pick(candidates, loop_->Now(), *random_);
   if (!chosen) {
     FinishError(call, call->last_refusal_reason, fbs::ran_state::kNo);
     return;
   }
-  SendAttempt(call, candidates[*chosen]);
+  SendAttempt(
+      call, candidates[*chosen],
+      versions_ == nullptr ? version_rule() : versions_->RuleOf(call->service));
+}
+
+// Sends the first attempt of a request to a version that gets only some calls,
+// if it may go there. A request that is refused there uses other versions.
+bool entry::TryNewVersion(open_call* call) {
+  if (versions_ == nullptr || !call->tried_nodes.empty() ||
+      versions_->RuleOf(call->service).excluded.empty())
+    return false;
+  const std::vector<route_candidate> candidates =
+      versions_->TrialCandidates(call->service, CollectAllVersions(*call));
+  if (candidates.empty())
+    return false;
+  const auto chosen = routing_->Pick(candidates, loop_->Now(), *random_);
+  if (!chosen)
+    return false;
+  const route_candidate& target = candidates[*chosen];
+  SendAttempt(call, target, {target.version, ""});
+  return true;
 }
 
 std::vector<route_candidate> entry::CollectCandidates(const open_call& call) {
+  std::vector<route_candidate> candidates = CollectAllVersions(call);
+  if (versions_ == nullptr)
+    return candidates;
+  const version_rule rule = versions_->RuleOf(call.service);
+  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                  [&](const route_candidate& each) {
+                                    return !rule.Allows(each.version);
+                                  }),
+                   candidates.end());
+  return candidates;
+}
+
+std::vector<route_candidate> entry::CollectAllVersions(const open_call& call) {
   std::vector<route_candidate> candidates;
   const time_point now = loop_->Now();
   for (const target_info& target : targets_->TargetsOf(call.service)) {
@@ -504,6 +539,7 @@
     route_candidate candidate;
     candidate.node_address = target.peer_address;
     candidate.node_incarnation = target.incarnation;
+    candidate.version = target.version;
     candidate.same_zone = target.zone == options_.zone;
     candidate.load_permille = target.load_permille;
     candidate.reported_at = target.reported_at;
@@ -545,14 +581,50 @@
   return options_.faults.reuse_sequence ? sequence / 4 : sequence;
 }
 
-void entry::SendAttempt(open_call* call, const route_candidate& target) {
+void entry::ReportToVersions(const open_call& call,
+                             attempt_result result,
+                             duration run_time) {
+  if (versions_ == nullptr || !call.current_attempt)
+    return;
+  const attempt& ended = *call.current_attempt;
+  versions_->OnEnded({ended.service, call.route, ended.version, ended.address},
+                     result, run_time);
+}
+
+// A lost link is no fault of the target's version.
+void entry::ReportAnswerToVersions(const open_call& call,
+                                   const fbs::call_answerT& answer) {
+  const duration run_time = std::chrono::microseconds(answer.run_us);
+  if (answer.outcome == fbs::outcome::kAnswered) {
+    ReportToVersions(call,
+                     answer.status >= kMinServerErrorStatus
+                         ? attempt_result::kFailed
+                         : attempt_result::kAnswered,
+                     run_time);
+  } else if (answer.outcome == fbs::outcome::kFailed) {
+    const reason why = ReasonFromWire(answer.reason);
+    if (why == reason::kTargetLost)
+      ReportToVersions(call, attempt_result::kLost, run_time);
+    else if (why == reason::kDeadlineDuringRun)
+      ReportToVersions(call, attempt_result::kTimedOut, run_time);
+  }
+}
+
+void entry::SendAttempt(open_call* call,
+                        const route_candidate& target,
+                        const version_rule& versions) {
   const time_point now = loop_->Now();
+  if (versions_ != nullptr)
+    versions_->OnSent(
+        {call->service, call->route, target.version, target.node_address},
+        call->tried_nodes.empty());
   if (call->tried_nodes.empty())
     RetryBudgetOf(call->service).OnFirstAttempt(now);
   attempt current_attempt;
   current_attempt.id = {options_.incarnation, NextAttemptSequence()};
   current_attempt.address = target.node_address;
   current_attempt.service = call->service;
+  current_attempt.version = target.version;
   const auto link = link_incarnations_.find(target.node_address);
   current_attempt.incarnation =
       link == link_incarnations_.end() ? 0 : link->second;
@@ -579,6 +651,8 @@
   message.body_checksum = BodyChecksum(message.body);
   message.caller_service = options_.local_service;
   message.route = call->route;
+  message.required_version = versions.required;
+  message.excluded_version = versions.excluded;
   // The target in `target_left_ms` is the target latency.
   if (call->soft_deadline != time_point::max())
     message.target_left_ms = static_cast<uint32_t>(
@@ -639,6 +713,7 @@
     UpdateFailureRate(*call->current_attempt,
                       answer.outcome != fbs::outcome::kAnswered ||
                           answer.status >= kMinServerErrorStatus);
+  ReportAnswerToVersions(*call, answer);
   EndAttempt(call);
   if (!IsIntact(answer)) {
     damaged_answers_.Increment();
@@ -955,6 +1030,7 @@
     return;
   }
   SendCancel(*call);
+  ReportToVersions(*call, attempt_result::kTimedOut, duration::zero());
   FinishError(call, reason::kDeadlineDuringRun, fbs::ran_state::kUnknown);
 }
 
--- a/node/entry.h
+++ b/node/entry.h
@@ -23,6 +23,7 @@
 #include "node/dedup_service.h"
 #include "node/request_dialect.h"
 #include "node/target_directory.h"
+#include "node/version_policy.h"
 #include "wire/peer_transport.h"
 
 namespace skylarkhoist {
@@ -134,6 +135,9 @@
     is_config_fresh_ = std::move(is_fresh);
   }
 
+  // `versions` chooses the versions of targets. Without it, all get calls.
+  void SetVersionPolicy(version_policy* versions) { versions_ = versions; }
+
   // `observer` is notified of each child call of a local target.
   void SetChildCallObserver(child_call_observer* observer) {
     child_call_observer_ = observer;
@@ -212,6 +216,7 @@
     // Peer address of the node beside the target.
     std::string address;
     std::string service;
+    std::string version;
     // Incarnation of the executor that has the call; 0 while no link was up.
     uint64_t incarnation = 0;
     time_point sent_at;
@@ -313,9 +318,19 @@
   void ClaimIdempotencyKey(entry_call_id call_id);
   void OnClaimDecided(entry_call_id call_id, const dedup_decision& decision);
   void Dispatch(entry_call_id call_id);
+  // Returns the targets of all versions that the call may go to.
+  std::vector<route_candidate> CollectAllVersions(const open_call& call);
   std::vector<route_candidate> CollectCandidates(const open_call& call);
+  bool TryNewVersion(open_call* call);
   bool IsZoneAllowed(const open_call& call, const std::string& zone) const;
-  void SendAttempt(open_call* call, const route_candidate& target);
+  void SendAttempt(open_call* call,
+                   const route_candidate& target,
+                   const version_rule& versions);
+  void ReportToVersions(const open_call& call,
+                        attempt_result result,
+                        duration run_time);
+  void ReportAnswerToVersions(const open_call& call,
+                              const fbs::call_answerT& answer);
   void EndAttempt(open_call* call);
   // Tells the node that has the call that its result is no longer needed.
   void SendCancel(const open_call& call);
@@ -365,6 +380,7 @@
   std::function<void(const std::string& customer)> return_rate_token_;
   dedup_service* dedup_ = nullptr;
   std::function<bool()> is_config_fresh_;
+  version_policy* versions_ = nullptr;
   child_call_observer* child_call_observer_ = nullptr;
   admission_controller admission_;
   std::unique_ptr<routing_policy> routing_;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -181,6 +181,7 @@
        announcement.state == fbs::member_state::kServing);
   const bool changed = restarted ||
                        target.announcement.state != announcement.state ||
+                       target.announcement.version != announcement.version ||
                        (!knows_departures_ && !target.announced_again);
   if (!inserted && !same_run)
     ReportCrash(&target);
@@ -330,6 +331,7 @@
                                                  fbs::member_state::kDraining);
     entry.load_permille = target.gate->LoadPermille(loop_->Now());
     entry.limit = static_cast<uint32_t>(target.gate->limit());
+    entry.version = target.announcement.version;
     entries.push_back(std::move(entry));
   }
   return entries;
@@ -397,11 +399,26 @@
   return std::nullopt;
 }
 
-executor::local_target* executor::ChooseTarget(const std::string& service) {
+// The sender names the version that it has chosen, since a target of another
+// version may have started beside this node meanwhile.
+bool executor::MayRun(const local_target& target,
+                      const fbs::call_requestT& call) const {
+  const std::string& version = target.announcement.version;
+  if (!call.required_version.empty())
+    return version == call.required_version;
+  if (version.empty())
+    return true;
+  return version != call.excluded_version &&
+         (!requires_permission_ ||
+          !requires_permission_(target.announcement.service, version));
+}
+
+executor::local_target* executor::ChooseTarget(const fbs::call_requestT& call) {
   const time_point now = loop_->Now();
   local_target* best = nullptr;
   for (auto& [address, target] : targets_) {
-    if (target.announcement.service != service || !IsInService(target))
+    if (target.announcement.service != call.service || !IsInService(target) ||
+        !MayRun(target, call))
       continue;
     if (best == nullptr ||
         target.gate->LoadPermille(now) < best->gate->LoadPermille(now))
@@ -467,7 +484,7 @@
 void executor::Enqueue(const request_id& id) {
   const time_point now = loop_->Now();
   open_execution& execution = executions_.at(id);
-  local_target* target = ChooseTarget(execution.call.service);
+  local_target* target = ChooseTarget(execution.call);
   if (target == nullptr) {
     FinishRefused(id, reason::kNoTarget, true);
     return;
@@ -537,10 +554,15 @@
     refused = reason::kDeadlineBeforeRun;
   if (!refused && IsQuarantined(execution->call))
     refused = reason::kQuarantined;
+  // The target may have restarted with another version while the call waited.
+  if (!refused && !MayRun(*target, execution->call))
+    refused = reason::kNoTarget;
   if (refused) {
     if (!execution->is_trial)
       target->gate->OnFinished(id, call_outcome::kCancelled, now);
-    FinishRefused(id, *refused, *refused == reason::kZoneOut);
+    FinishRefused(
+        id, *refused,
+        *refused == reason::kZoneOut || *refused == reason::kNoTarget);
     return;
   }
   if (!execution->is_trial && options_.track_suspects &&
@@ -903,7 +925,7 @@
       target = &candidate;
   }
   if (target == nullptr) {
-    target = ChooseTarget(execution->call.service);
+    target = ChooseTarget(execution->call);
     if (target == nullptr) {
       FinishRefused(execution->id, reason::kNoTarget, true);
       return true;
@@ -973,6 +995,11 @@
     return;
   open_execution& execution = found->second;
   answer.credit_left = execution.call.credit;
+  if (execution.running)
+    answer.run_us = static_cast<uint32_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            loop_->Now() - execution.started_at)
+            .count());
   if (execution.running && on_run_)
     on_run_(execution.call.route, false);
   const auto run = runs_by_caller_id_.find(execution.caller_id);
--- a/node/executor.h
+++ b/node/executor.h
@@ -41,6 +41,8 @@
   // one, is dropped. Both are 0 when targets don't number their announcements.
   int64_t generation = 0;
   int64_t sequence = 0;
+  // Version of the target's program; empty when it names none.
+  std::string version;
   // Maximum of concurrent calls at the target; 0 when it does not announce one.
   int slots = 0;
   // How long the target stays cold, that is at reduced capacity after its
@@ -175,6 +177,14 @@
     on_run_ = std::move(callback);
   }
 
+  // `requires_permission` returns whether calls may go to targets of a version
+  // only if their sender says so, because the version is being rolled out.
+  void SetVersionCheck(
+      std::function<bool(const std::string& service,
+                         const std::string& version)> requires_permission) {
+    requires_permission_ = std::move(requires_permission);
+  }
+
   // `callback` is told the caller's id of each run that ends without an answer
   // of its target.
   void OnRunAborted(
@@ -244,7 +254,8 @@
   void UpdateStatus(local_target* target, const char* source);
   std::optional<reason> CheckBeforeRun(const fbs::call_requestT& call,
                                        time_point now) const;
-  local_target* ChooseTarget(const std::string& service);
+  local_target* ChooseTarget(const fbs::call_requestT& call);
+  bool MayRun(const local_target& target, const fbs::call_requestT& call) const;
   void Enqueue(const request_id& id);
   void DispatchQueued(const std::string& address);
   void ScheduleDispatch(const std::string& address);
@@ -314,6 +325,8 @@
       downstream_loads_;
   std::function<void(const std::string& route, bool starts)> on_run_;
   std::function<void(const std::string& caller_id)> on_run_aborted_;
+  std::function<bool(const std::string&, const std::string&)>
+      requires_permission_;
   timer_id target_expiry_timer_ = 0;
   reason_counters ended_executions_;
   prometheus::Counter& sent_to_target_;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -123,7 +123,18 @@
               &transport_,
               options_.peer_address,
               options_.name,
-              parts.counters) {
+              parts.counters),
+      rollouts_({parts.run_loop, &transport_, parts.store, &directory_},
+                options_.rollouts,
+                options_.peer_address,
+                parts.counters) {
+  entry_.SetVersionPolicy(&rollouts_);
+  executor_.SetVersionCheck(
+      [this](const std::string& service, const std::string& version) {
+        return rollouts_.RequiresPermission(service, version);
+      });
+  config_.OnRollout(
+      [this](const rollout_record& order) { rollouts_.SetOrder(order); });
   entry_.SetRateTokenAcquirer([this](const std::string& customer,
                                      time_point /*deadline*/,
                                      std::function<void(reason)> done) {
@@ -266,6 +277,7 @@
     members.all_limit_owners =
         members.all_limit_owners && node.protocol >= kZoneViewProtocol;
   }
+  rollouts_.SetMembers({members.names, members.has_majority});
   tokens_.SetMembers(members);
 }
 
@@ -294,6 +306,10 @@
     executor_.HandleTargetCrash(*crash);
   else if (const auto* addresses = body.Asnode_addresses())
     directory_.HandleAddresses(*addresses);
+  else if (const auto* report = body.Asrollout_report())
+    rollouts_.HandleReport(from, *report);
+  else if (const auto* grant = body.Asrollout_grant())
+    rollouts_.HandleGrant(*grant);
   else if (const auto* heartbeat = body.Asheartbeat())
     HandleHeartbeat(from, *heartbeat);
 }
@@ -420,6 +436,7 @@
                        {"targets", targets}});
   }
   status["members"] = members;
+  status["rollouts"] = rollouts_.Status();
   status["calls"] = counted_calls_.ToJson();
   return status;
 }
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -19,6 +19,7 @@
 #include "node/node_directory.h"
 #include "node/operator_records.h"
 #include "node/request_dialect.h"
+#include "node/rollout_service.h"
 #include "node/store_config_follower.h"
 #include "node/token_service.h"
 #include "wire/keyed_store.h"
@@ -37,6 +38,7 @@
   std::string local_service;
   // Random number that identifies this run of the process.
   uint64_t incarnation = 0;
+  rollout_bounds rollouts;
   const request_dialect* dialect = &SkylarkDialect();
   // A local target whose last announcement is older than this is out of
   // service.
@@ -153,6 +155,7 @@
   entry entry_;
   store_config_follower config_;
   token_service tokens_;
+  rollout_service rollouts_;
   // Calls that the runs of each route make: counted where a call names the run
   // that makes it, estimated where it does not.
   call_counter counted_calls_;
--- a/node/hosted_settings.cc
+++ b/node/hosted_settings.cc
@@ -50,6 +50,17 @@
         "x-must": "a whole number from 0 to 1073741824"}
     }
   },
+  "rollouts": {
+    "type": "object", "additionalProperties": false,
+    "properties": {
+      "exposure_share": {"type": "number", "minimum": 0, "maximum": 1,
+        "x-must": "a number from 0 to 1"},
+      "exposure_slack": {"type": "number", "minimum": 0, "maximum": 1000000,
+        "x-must": "a number from 0 to 1000000"},
+      "rollback_ms": {"type": "number", "minimum": 1, "maximum": 3600000,
+        "x-must": "milliseconds from 1 to 3600000"}
+    }
+  },
   "announcement_interval_ms": {"type": "number", "minimum": 100, "maximum": 60000,
     "x-must": "milliseconds from 100 to 60000"},
   "stop_grace_s": {"type": "number", "minimum": 0.5, "maximum": 600,
@@ -116,6 +127,16 @@
   }
   using milliseconds = std::chrono::duration<double, std::milli>;
   using seconds = std::chrono::duration<double>;
+  if (value->contains("rollouts")) {
+    const json& rollouts = value->at("rollouts");
+    result.exposure_share =
+        rollouts.value("exposure_share", result.exposure_share);
+    result.exposure_slack =
+        rollouts.value("exposure_slack", result.exposure_slack);
+    if (rollouts.contains("rollback_ms"))
+      result.rollback_time = std::chrono::duration_cast<duration>(
+          milliseconds(rollouts.at("rollback_ms").get<double>()));
+  }
   if (value->contains("announcement_interval_ms"))
     result.announcement_interval = std::chrono::duration_cast<duration>(
         milliseconds(value->at("announcement_interval_ms").get<double>()));
--- a/node/hosted_settings.h
+++ b/node/hosted_settings.h
@@ -32,6 +32,14 @@
 
   std::string store_address;
 
+  // Bounds of rollouts: the share of a service's requests that a version which
+  // turns out to be bad may get, the number that it may get beyond this, and
+  // the time from its 50th bad answer within which it gets nothing more. While
+  // the share and the slack are 0, no rollout starts.
+  double exposure_share = 0;
+  double exposure_slack = 0;
+  duration rollback_time = std::chrono::seconds(5);
+
   // Size limits of one request.
   size_t max_header_bytes = size_t{64} << 10;
   size_t max_body_bytes = size_t{64} << 20;
--- a/node/hosted_settings_test.cc
+++ b/node/hosted_settings_test.cc
@@ -29,6 +29,20 @@
   CHECK_TRUE(read->stop_grace == std::chrono::seconds(6));
 }
 
+// Guards against a rollout in a deployment that names no bounds, and against
+// bounds that are not read.
+TEST(hosted_settings, RolloutsNeedBounds) {
+  const auto without = ParseHostedSettings(ValidSettings().dump());
+  CHECK_EQUAL(0, without->exposure_share + without->exposure_slack);
+  json settings = ValidSettings();
+  settings["rollouts"] = {
+      {"exposure_share", 0.1}, {"exposure_slack", 50}, {"rollback_ms", 4000}};
+  const auto with = ParseHostedSettings(settings.dump());
+  CHECK_EQUAL(0.1, with->exposure_share);
+  CHECK_EQUAL(50, with->exposure_slack);
+  CHECK_TRUE(with->rollback_time == std::chrono::seconds(4));
+}
+
 // Guards against a node that starts with invalid settings, and against findings
 // that do not name the setting.
 TEST(hosted_settings, EachInvalidSettingIsAFinding) {
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -36,7 +36,8 @@
                       return left->service == right.service &&
                              left->address == right.address &&
                              left->state == right.state &&
-                             left->limit == right.limit;
+                             left->limit == right.limit &&
+                             left->version == right.version;
                     });
 }
 
@@ -455,6 +456,7 @@
     item.incarnation = node.incarnation;
     item.load_permille = target.load_permille;
     item.limit = target.limit;
+    item.version = target.version;
     item.first_seen = table.ServingSince(node.address, target.address);
     found->push_back(std::move(item));
   }
--- a/node/node_view_messages.cc
+++ b/node/node_view_messages.cc
@@ -38,7 +38,8 @@
       continue;
     node.targets.push_back({target->service, target->address,
                             target->state == fbs::member_state::kServing,
-                            target->load_permille, target->limit});
+                            target->load_permille, target->limit,
+                            target->version});
   }
   return node;
 }
@@ -63,6 +64,7 @@
                                       : fbs::member_state::kDraining;
     described->load_permille = target.load_permille;
     described->limit = target.limit;
+    described->version = target.version;
     entry.targets.push_back(std::move(described));
   }
   return entry;
--- a/node/operator_records.h
+++ b/node/operator_records.h
@@ -9,6 +9,7 @@
 
 #include "decisions/config_view.h"
 #include "kernel/findings.h"
+#include "kernel/time.h"
 #include "wire/keyed_store.h"
 
 namespace skylarkhoist {
@@ -26,9 +27,17 @@
   bool out_of_service = false;
 };
 
+// Orders that the traffic of a service moves to targets of another version.
+struct rollout_record {
+  std::string service;
+  std::string target_version;
+  // Time from the order within which a good version must be completed.
+  duration length = duration::zero();
+};
+
 // std::monostate stands for a record of another kind, which has no effect.
-using operator_record =
-    std::variant<std::monostate, configuration_record, zone_record>;
+using operator_record = std::
+    variant<std::monostate, configuration_record, zone_record, rollout_record>;
 
 // Parses the records that operators write to the store.
 class operator_record_reader {
--- a/node/store_config_follower.cc
+++ b/node/store_config_follower.cc
@@ -305,6 +305,11 @@
     }
     return changed;
   }
+  if (const auto* rollout = std::get_if<rollout_record>(&*read)) {
+    if (rollout_callback_)
+      rollout_callback_(*rollout);
+    return false;
+  }
   const auto* config = std::get_if<configuration_record>(&*read);
   if (config == nullptr || config->version <= version_)
     return false;
--- a/node/store_config_follower.h
+++ b/node/store_config_follower.h
@@ -72,6 +72,12 @@
   // Sets the place of this node among the readers; nothing if it is none.
   void SetReader(const std::optional<reader_turn>& turn);
 
+  // Sets a callback for orders of rollouts. An order that is deleted stays in
+  // force until another one replaces it.
+  void OnRollout(std::function<void(const rollout_record&)> callback) {
+    rollout_callback_ = std::move(callback);
+  }
+
   // Sets a callback for new records that other nodes may lack: read from the
   // store by a reader, or received from another zone.
   void OnNewRecords(std::function<void()> callback) {
@@ -148,6 +154,7 @@
   time_point store_lost_at_;
   time_point read_started_at_;
   std::optional<reader_turn> turn_;
+  std::function<void(const rollout_record&)> rollout_callback_;
   std::function<void()> new_records_callback_;
   std::function<void(bool lost)> store_change_callback_;
   // Reads without new records since the last one that had some.
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -19,6 +19,8 @@
   uint32_t load_permille = 0;
   // Concurrency limit of the target.
   uint32_t limit = 0;
+  // Version of the target's program; empty when it names none.
+  std::string version;
   // When this node first saw the target in service.
   time_point first_seen;
   // When this node received `load_permille`.
--- a/testing/hosted_fleet.cc
+++ b/testing/hosted_fleet.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::string_view kZoneKeyPrefix = "zone/";
+constexpr std::string_view kRolloutKeyPrefix = "rollout/";
 constexpr duration kAnnouncementInterval = std::chrono::seconds(1);
 
 // As on the platform.
@@ -47,9 +48,19 @@
   if (record.key.compare(0, kZoneKeyPrefix.size(), kZoneKeyPrefix) == 0)
     return operator_record(zone_record{record.key.substr(kZoneKeyPrefix.size()),
                                        record.value.has_value()});
-  if (record.key != "config" || !record.value)
+  if (!record.value)
     return operator_record();
   std::istringstream text(*record.value);
+  if (record.key.compare(0, kRolloutKeyPrefix.size(), kRolloutKeyPrefix) == 0) {
+    rollout_record order;
+    order.service = record.key.substr(kRolloutKeyPrefix.size());
+    int64_t length = 0;
+    text >> order.target_version >> length;
+    order.length = std::chrono::seconds(length);
+    return operator_record(std::move(order));
+  }
+  if (record.key != "config")
+    return operator_record();
   configuration_record result;
   double rate = 0;
   if (!(text >> result.version >> rate)) {
@@ -123,6 +134,7 @@
   options.dialect = dialect_;
   options.local_service = machine.announcement.service;
   options.incarnation = ++next_incarnation_;
+  options.rollouts = {0.1, 50, std::chrono::seconds(5)};
   machine.store_client = store_.Connect(options.name);
   machine.timers = std::make_unique<node_loop>(&loop_);
   machine.counters = std::make_unique<metrics>();
@@ -162,6 +174,13 @@
   machine.process->HandleAnnouncement(machine.announcement);
 }
 
+void hosted_fleet::SetTargetVersion(size_t index, const std::string& version) {
+  machine_state& machine = machines_[index];
+  machine.announcement.version = version;
+  ++machine.announcement.sequence;
+  machine.process->HandleAnnouncement(machine.announcement);
+}
+
 void hosted_fleet::RestartTarget(size_t index, duration cold_time) {
   machine_state& machine = machines_[index];
   ++machine.announcement.generation;
--- a/testing/hosted_fleet.h
+++ b/testing/hosted_fleet.h
@@ -20,7 +20,7 @@
 // Reads the operator records of hosted fleets in tests. The record "config" has
 // the value "VERSION RATE KEY...": the API keys belong to the customer "acme",
 // and RATE is its rate and burst. A record "zone/NAME" takes a zone out of
-// service.
+// service. A record "rollout/SERVICE" has the value "VERSION SECONDS".
 //
 // Routes: /safe/ and /once/ go to the service "front" and need an API key,
 // /inner/ goes to "deep" and needs none. /safe/ and /inner/ are repeatable.
@@ -69,6 +69,8 @@
   void StopNode(size_t index);
   // Announces a new state of the target.
   void SetTargetState(size_t index, fbs::member_state state);
+  // Announces the version of the target.
+  void SetTargetVersion(size_t index, const std::string& version);
   // Announces a restarted target that is cold for `cold_time`.
   void RestartTarget(size_t index, duration cold_time);
   void StopAnnouncing(size_t index) { machines_[index].announcing = false; }
--- a/wire/keyed_store.h
+++ b/wire/keyed_store.h
@@ -18,6 +18,8 @@
   kOperators,
   // Node addresses; each node writes its own record.
   kNodes,
+  // States of rollouts; the rollout's coordinator writes them.
+  kStatus,
 };
 
 struct keyed_record {
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -186,6 +186,26 @@
 struct target_crashBuilder;
 struct target_crashT;
 
+struct rollout_route_counts;
+struct rollout_route_countsBuilder;
+struct rollout_route_countsT;
+
+struct rollout_target_counts;
+struct rollout_target_countsBuilder;
+struct rollout_target_countsT;
+
+struct rollout_report;
+struct rollout_reportBuilder;
+struct rollout_reportT;
+
+struct rollout_slow_time;
+struct rollout_slow_timeBuilder;
+struct rollout_slow_timeT;
+
+struct rollout_grant;
+struct rollout_grantBuilder;
+struct rollout_grantT;
+
 struct envelope;
 struct envelopeBuilder;
 struct envelopeT;
@@ -276,6 +296,16 @@
 bool operator!=(const crashed_runT &lhs, const crashed_runT &rhs);
 bool operator==(const target_crashT &lhs, const target_crashT &rhs);
 bool operator!=(const target_crashT &lhs, const target_crashT &rhs);
+bool operator==(const rollout_route_countsT &lhs, const rollout_route_countsT &rhs);
+bool operator!=(const rollout_route_countsT &lhs, const rollout_route_countsT &rhs);
+bool operator==(const rollout_target_countsT &lhs, const rollout_target_countsT &rhs);
+bool operator!=(const rollout_target_countsT &lhs, const rollout_target_countsT &rhs);
+bool operator==(const rollout_reportT &lhs, const rollout_reportT &rhs);
+bool operator!=(const rollout_reportT &lhs, const rollout_reportT &rhs);
+bool operator==(const rollout_slow_timeT &lhs, const rollout_slow_timeT &rhs);
+bool operator!=(const rollout_slow_timeT &lhs, const rollout_slow_timeT &rhs);
+bool operator==(const rollout_grantT &lhs, const rollout_grantT &rhs);
+bool operator!=(const rollout_grantT &lhs, const rollout_grantT &rhs);
 bool operator==(const envelopeT &lhs, const envelopeT &rhs);
 bool operator!=(const envelopeT &lhs, const envelopeT &rhs);
 
@@ -555,6 +585,42 @@
   return EnumNamesnode_status()[index];
 }
 
+enum class rollout_phase : uint8_t {
+  kRunning = 0,
+  kStopped = 1,
+  kCompleted = 2,
+  kRolledBack = 3,
+  MIN = kRunning,
+  MAX = kRolledBack
+};
+
+inline const rollout_phase (&EnumValuesrollout_phase())[4] {
+  static const rollout_phase values[] = {
+    rollout_phase::kRunning,
+    rollout_phase::kStopped,
+    rollout_phase::kCompleted,
+    rollout_phase::kRolledBack
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesrollout_phase() {
+  static const char * const names[5] = {
+    "kRunning",
+    "kStopped",
+    "kCompleted",
+    "kRolledBack",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamerollout_phase(rollout_phase e) {
+  if (flatbuffers::IsOutRange(e, rollout_phase::kRunning, rollout_phase::kRolledBack)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesrollout_phase()[index];
+}
+
 enum class payload : uint8_t {
   NONE = 0,
   hello = 1,
@@ -583,11 +649,13 @@
   zone_view = 24,
   node_addresses = 25,
   target_crash = 26,
+  rollout_report = 27,
+  rollout_grant = 28,
   MIN = NONE,
-  MAX = target_crash
+  MAX = rollout_grant
 };
 
-inline const payload (&EnumValuespayload())[27] {
+inline const payload (&EnumValuespayload())[29] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -615,13 +683,15 @@
     payload::zone_view_request,
     payload::zone_view,
     payload::node_addresses,
-    payload::target_crash
+    payload::target_crash,
+    payload::rollout_report,
+    payload::rollout_grant
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[28] = {
+  static const char * const names[30] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -649,13 +719,15 @@
     "zone_view",
     "node_addresses",
     "target_crash",
+    "rollout_report",
+    "rollout_grant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::target_crash)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::rollout_grant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -768,6 +840,14 @@
   static const payload enum_value = payload::target_crash;
 };
 
+template<> struct payloadTraits<skylarkhoist::fbs::rollout_report> {
+  static const payload enum_value = payload::rollout_report;
+};
+
+template<> struct payloadTraits<skylarkhoist::fbs::rollout_grant> {
+  static const payload enum_value = payload::rollout_grant;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -876,6 +956,14 @@
   static const payload enum_value = payload::target_crash;
 };
 
+template<> struct payloadUnionTraits<skylarkhoist::fbs::rollout_reportT> {
+  static const payload enum_value = payload::rollout_report;
+};
+
+template<> struct payloadUnionTraits<skylarkhoist::fbs::rollout_grantT> {
+  static const payload enum_value = payload::rollout_grant;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -1114,6 +1202,22 @@
     return type == payload::target_crash ?
       reinterpret_cast<const skylarkhoist::fbs::target_crashT *>(value) : nullptr;
   }
+  skylarkhoist::fbs::rollout_reportT *Asrollout_report() {
+    return type == payload::rollout_report ?
+      reinterpret_cast<skylarkhoist::fbs::rollout_reportT *>(value) : nullptr;
+  }
+  const skylarkhoist::fbs::rollout_reportT *Asrollout_report() const {
+    return type == payload::rollout_report ?
+      reinterpret_cast<const skylarkhoist::fbs::rollout_reportT *>(value) : nullptr;
+  }
+  skylarkhoist::fbs::rollout_grantT *Asrollout_grant() {
+    return type == payload::rollout_grant ?
+      reinterpret_cast<skylarkhoist::fbs::rollout_grantT *>(value) : nullptr;
+  }
+  const skylarkhoist::fbs::rollout_grantT *Asrollout_grant() const {
+    return type == payload::rollout_grant ?
+      reinterpret_cast<const skylarkhoist::fbs::rollout_grantT *>(value) : nullptr;
+  }
 };
 
 
@@ -1227,6 +1331,14 @@
       return *(reinterpret_cast<const skylarkhoist::fbs::target_crashT *>(lhs.value)) ==
              *(reinterpret_cast<const skylarkhoist::fbs::target_crashT *>(rhs.value));
     }
+    case payload::rollout_report: {
+      return *(reinterpret_cast<const skylarkhoist::fbs::rollout_reportT *>(lhs.value)) ==
+             *(reinterpret_cast<const skylarkhoist::fbs::rollout_reportT *>(rhs.value));
+    }
+    case payload::rollout_grant: {
+      return *(reinterpret_cast<const skylarkhoist::fbs::rollout_grantT *>(lhs.value)) ==
+             *(reinterpret_cast<const skylarkhoist::fbs::rollout_grantT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -1879,6 +1991,8 @@
   std::string route{};
   uint32_t target_left_ms = 0;
   std::unique_ptr<skylarkhoist::fbs::target_reportT> target{};
+  std::string required_version{};
+  std::string excluded_version{};
   call_requestT() = default;
   call_requestT(const call_requestT &o);
   call_requestT(call_requestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1910,7 +2024,9 @@
     VT_CALLER_SERVICE = 38,
     VT_ROUTE = 40,
     VT_TARGET_LEFT_MS = 42,
-    VT_TARGET = 44
+    VT_TARGET = 44,
+    VT_REQUIRED_VERSION = 46,
+    VT_EXCLUDED_VERSION = 48
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -1975,6 +2091,12 @@
   const skylarkhoist::fbs::target_report *target() const {
     return GetPointer<const skylarkhoist::fbs::target_report *>(VT_TARGET);
   }
+  const flatbuffers::String *required_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUIRED_VERSION);
+  }
+  const flatbuffers::String *excluded_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_EXCLUDED_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -2009,6 +2131,10 @@
            VerifyField<uint32_t>(verifier, VT_TARGET_LEFT_MS, 4) &&
            VerifyOffset(verifier, VT_TARGET) &&
            verifier.VerifyTable(target()) &&
+           VerifyOffset(verifier, VT_REQUIRED_VERSION) &&
+           verifier.VerifyString(required_version()) &&
+           VerifyOffset(verifier, VT_EXCLUDED_VERSION) &&
+           verifier.VerifyString(excluded_version()) &&
            verifier.EndTable();
   }
   call_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2083,6 +2209,12 @@
   void add_target(flatbuffers::Offset<skylarkhoist::fbs::target_report> target) {
     fbb_.AddOffset(call_request::VT_TARGET, target);
   }
+  void add_required_version(flatbuffers::Offset<flatbuffers::String> required_version) {
+    fbb_.AddOffset(call_request::VT_REQUIRED_VERSION, required_version);
+  }
+  void add_excluded_version(flatbuffers::Offset<flatbuffers::String> excluded_version) {
+    fbb_.AddOffset(call_request::VT_EXCLUDED_VERSION, excluded_version);
+  }
   explicit call_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2116,10 +2248,14 @@
     flatbuffers::Offset<flatbuffers::String> caller_service = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
     uint32_t target_left_ms = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0,
+    flatbuffers::Offset<flatbuffers::String> required_version = 0,
+    flatbuffers::Offset<flatbuffers::String> excluded_version = 0) {
   call_requestBuilder builder_(_fbb);
   builder_.add_body_checksum(body_checksum);
   builder_.add_fingerprint(fingerprint);
+  builder_.add_excluded_version(excluded_version);
+  builder_.add_required_version(required_version);
   builder_.add_target(target);
   builder_.add_target_left_ms(target_left_ms);
   builder_.add_route(route);
@@ -2169,7 +2305,9 @@
     const char *caller_service = nullptr,
     const char *route = nullptr,
     uint32_t target_left_ms = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0,
+    const char *required_version = nullptr,
+    const char *excluded_version = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto key_id__ = key_id ? _fbb.CreateString(key_id) : 0;
@@ -2179,6 +2317,8 @@
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto required_version__ = required_version ? _fbb.CreateString(required_version) : 0;
+  auto excluded_version__ = excluded_version ? _fbb.CreateString(excluded_version) : 0;
   return skylarkhoist::fbs::Createcall_request(
       _fbb,
       id,
@@ -2201,7 +2341,9 @@
       caller_service__,
       route__,
       target_left_ms,
-      target);
+      target,
+      required_version__,
+      excluded_version__);
 }
 
 flatbuffers::Offset<call_request> Createcall_request(flatbuffers::FlatBufferBuilder &_fbb, const call_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2222,6 +2364,7 @@
   uint64_t total_length = 0;
   uint64_t body_checksum = 0;
   std::unique_ptr<skylarkhoist::fbs::target_reportT> target{};
+  uint32_t run_us = 0;
   call_answerT() = default;
   call_answerT(const call_answerT &o);
   call_answerT(call_answerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2246,7 +2389,8 @@
     VT_BODY = 24,
     VT_TOTAL_LENGTH = 26,
     VT_BODY_CHECKSUM = 28,
-    VT_TARGET = 30
+    VT_TARGET = 30,
+    VT_RUN_US = 32
   };
   const skylarkhoist::fbs::request_id *id() const {
     return GetStruct<const skylarkhoist::fbs::request_id *>(VT_ID);
@@ -2290,6 +2434,9 @@
   const skylarkhoist::fbs::target_report *target() const {
     return GetPointer<const skylarkhoist::fbs::target_report *>(VT_TARGET);
   }
+  uint32_t run_us() const {
+    return GetField<uint32_t>(VT_RUN_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<skylarkhoist::fbs::request_id>(verifier, VT_ID, 8) &&
@@ -2312,6 +2459,7 @@
            VerifyField<uint64_t>(verifier, VT_BODY_CHECKSUM, 8) &&
            VerifyOffset(verifier, VT_TARGET) &&
            verifier.VerifyTable(target()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN_US, 4) &&
            verifier.EndTable();
   }
   call_answerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2365,6 +2513,9 @@
   void add_target(flatbuffers::Offset<skylarkhoist::fbs::target_report> target) {
     fbb_.AddOffset(call_answer::VT_TARGET, target);
   }
+  void add_run_us(uint32_t run_us) {
+    fbb_.AddElement<uint32_t>(call_answer::VT_RUN_US, run_us, 0);
+  }
   explicit call_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2391,10 +2542,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint64_t total_length = 0,
     uint64_t body_checksum = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0,
+    uint32_t run_us = 0) {
   call_answerBuilder builder_(_fbb);
   builder_.add_body_checksum(body_checksum);
   builder_.add_total_length(total_length);
+  builder_.add_run_us(run_us);
   builder_.add_target(target);
   builder_.add_body(body);
   builder_.add_headers(headers);
@@ -2430,7 +2583,8 @@
     const std::vector<uint8_t> *body = nullptr,
     uint64_t total_length = 0,
     uint64_t body_checksum = 0,
-    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0) {
+    flatbuffers::Offset<skylarkhoist::fbs::target_report> target = 0,
+    uint32_t run_us = 0) {
   auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::load_level>>(*loads) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -2449,7 +2603,8 @@
       body__,
       total_length,
       body_checksum,
-      target);
+      target,
+      run_us);
 }
 
 flatbuffers::Offset<call_answer> Createcall_answer(flatbuffers::FlatBufferBuilder &_fbb, const call_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2670,6 +2825,7 @@
   skylarkhoist::fbs::member_state state = skylarkhoist::fbs::member_state::kServing;
   uint32_t load_permille = 0;
   uint32_t limit = 0;
+  std::string version{};
 };
 
 struct target_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2681,7 +2837,8 @@
     VT_ADDRESS = 6,
     VT_STATE = 8,
     VT_LOAD_PERMILLE = 10,
-    VT_LIMIT = 12
+    VT_LIMIT = 12,
+    VT_VERSION = 14
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -2698,6 +2855,9 @@
   uint32_t limit() const {
     return GetField<uint32_t>(VT_LIMIT, 0);
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -2707,6 +2867,8 @@
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint32_t>(verifier, VT_LOAD_PERMILLE, 4) &&
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
            verifier.EndTable();
   }
   target_entryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2733,6 +2895,9 @@
   void add_limit(uint32_t limit) {
     fbb_.AddElement<uint32_t>(target_entry::VT_LIMIT, limit, 0);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(target_entry::VT_VERSION, version);
+  }
   explicit target_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2750,8 +2915,10 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     skylarkhoist::fbs::member_state state = skylarkhoist::fbs::member_state::kServing,
     uint32_t load_permille = 0,
-    uint32_t limit = 0) {
+    uint32_t limit = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   target_entryBuilder builder_(_fbb);
+  builder_.add_version(version);
   builder_.add_limit(limit);
   builder_.add_load_permille(load_permille);
   builder_.add_address(address);
@@ -2771,16 +2938,19 @@
     const char *address = nullptr,
     skylarkhoist::fbs::member_state state = skylarkhoist::fbs::member_state::kServing,
     uint32_t load_permille = 0,
-    uint32_t limit = 0) {
+    uint32_t limit = 0,
+    const char *version = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return skylarkhoist::fbs::Createtarget_entry(
       _fbb,
       service__,
       address__,
       state,
       load_permille,
-      limit);
+      limit,
+      version__);
 }
 
 flatbuffers::Offset<target_entry> Createtarget_entry(flatbuffers::FlatBufferBuilder &_fbb, const target_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6466,145 +6636,880 @@
 
 flatbuffers::Offset<target_crash> Createtarget_crash(flatbuffers::FlatBufferBuilder &_fbb, const target_crashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct envelopeT : public flatbuffers::NativeTable {
-  typedef envelope TableType;
-  skylarkhoist::fbs::payloadUnion body{};
+struct rollout_route_countsT : public flatbuffers::NativeTable {
+  typedef rollout_route_counts TableType;
+  std::string route{};
+  uint32_t calls = 0;
+  uint32_t failed = 0;
+  std::vector<uint32_t> run_times{};
 };
 
-struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef envelopeT NativeTableType;
-  typedef envelopeBuilder Builder;
+struct rollout_route_counts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_route_countsT NativeTableType;
+  typedef rollout_route_countsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BODY_TYPE = 4,
-    VT_BODY = 6
+    VT_ROUTE = 4,
+    VT_CALLS = 6,
+    VT_FAILED = 8,
+    VT_RUN_TIMES = 10
   };
-  skylarkhoist::fbs::payload body_type() const {
-    return static_cast<skylarkhoist::fbs::payload>(GetField<uint8_t>(VT_BODY_TYPE, 0));
-  }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
-  }
-  template<typename T> const T *body_as() const;
-  const skylarkhoist::fbs::hello *body_as_hello() const {
-    return body_type() == skylarkhoist::fbs::payload::hello ? static_cast<const skylarkhoist::fbs::hello *>(body()) : nullptr;
-  }
-  const skylarkhoist::fbs::heartbeat *body_as_heartbeat() const {
-    return body_type() == skylarkhoist::fbs::payload::heartbeat ? static_cast<const skylarkhoist::fbs::heartbeat *>(body()) : nullptr;
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
   }
-  const skylarkhoist::fbs::call_request *body_as_call_request() const {
-    return body_type() == skylarkhoist::fbs::payload::call_request ? static_cast<const skylarkhoist::fbs::call_request *>(body()) : nullptr;
+  uint32_t calls() const {
+    return GetField<uint32_t>(VT_CALLS, 0);
   }
-  const skylarkhoist::fbs::call_answer *body_as_call_answer() const {
-    return body_type() == skylarkhoist::fbs::payload::call_answer ? static_cast<const skylarkhoist::fbs::call_answer *>(body()) : nullptr;
+  uint32_t failed() const {
+    return GetField<uint32_t>(VT_FAILED, 0);
   }
-  const skylarkhoist::fbs::call_cancel *body_as_call_cancel() const {
-    return body_type() == skylarkhoist::fbs::payload::call_cancel ? static_cast<const skylarkhoist::fbs::call_cancel *>(body()) : nullptr;
+  const flatbuffers::Vector<uint32_t> *run_times() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_RUN_TIMES);
   }
-  const skylarkhoist::fbs::call_query *body_as_call_query() const {
-    return body_type() == skylarkhoist::fbs::payload::call_query ? static_cast<const skylarkhoist::fbs::call_query *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint32_t>(verifier, VT_CALLS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILED, 4) &&
+           VerifyOffset(verifier, VT_RUN_TIMES) &&
+           verifier.VerifyVector(run_times()) &&
+           verifier.EndTable();
   }
-  const skylarkhoist::fbs::call_state *body_as_call_state() const {
-    return body_type() == skylarkhoist::fbs::payload::call_state ? static_cast<const skylarkhoist::fbs::call_state *>(body()) : nullptr;
+  rollout_route_countsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rollout_route_countsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rollout_route_counts> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_route_countsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct rollout_route_countsBuilder {
+  typedef rollout_route_counts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(rollout_route_counts::VT_ROUTE, route);
   }
-  const skylarkhoist::fbs::gossip *body_as_gossip() const {
-    return body_type() == skylarkhoist::fbs::payload::gossip ? static_cast<const skylarkhoist::fbs::gossip *>(body()) : nullptr;
+  void add_calls(uint32_t calls) {
+    fbb_.AddElement<uint32_t>(rollout_route_counts::VT_CALLS, calls, 0);
   }
-  const skylarkhoist::fbs::config_news *body_as_config_news() const {
-    return body_type() == skylarkhoist::fbs::payload::config_news ? static_cast<const skylarkhoist::fbs::config_news *>(body()) : nullptr;
+  void add_failed(uint32_t failed) {
+    fbb_.AddElement<uint32_t>(rollout_route_counts::VT_FAILED, failed, 0);
   }
-  const skylarkhoist::fbs::config_request *body_as_config_request() const {
-    return body_type() == skylarkhoist::fbs::payload::config_request ? static_cast<const skylarkhoist::fbs::config_request *>(body()) : nullptr;
+  void add_run_times(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> run_times) {
+    fbb_.AddOffset(rollout_route_counts::VT_RUN_TIMES, run_times);
   }
-  const skylarkhoist::fbs::config_state *body_as_config_state() const {
-    return body_type() == skylarkhoist::fbs::payload::config_state ? static_cast<const skylarkhoist::fbs::config_state *>(body()) : nullptr;
+  explicit rollout_route_countsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const skylarkhoist::fbs::lease_request *body_as_lease_request() const {
-    return body_type() == skylarkhoist::fbs::payload::lease_request ? static_cast<const skylarkhoist::fbs::lease_request *>(body()) : nullptr;
+  flatbuffers::Offset<rollout_route_counts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_route_counts>(end);
+    return o;
   }
-  const skylarkhoist::fbs::lease_grant *body_as_lease_grant() const {
-    return body_type() == skylarkhoist::fbs::payload::lease_grant ? static_cast<const skylarkhoist::fbs::lease_grant *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<rollout_route_counts> Createrollout_route_counts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint32_t calls = 0,
+    uint32_t failed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> run_times = 0) {
+  rollout_route_countsBuilder builder_(_fbb);
+  builder_.add_run_times(run_times);
+  builder_.add_failed(failed);
+  builder_.add_calls(calls);
+  builder_.add_route(route);
+  return builder_.Finish();
+}
+
+struct rollout_route_counts::Traits {
+  using type = rollout_route_counts;
+  static auto constexpr Create = Createrollout_route_counts;
+};
+
+inline flatbuffers::Offset<rollout_route_counts> Createrollout_route_countsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    uint32_t calls = 0,
+    uint32_t failed = 0,
+    const std::vector<uint32_t> *run_times = nullptr) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto run_times__ = run_times ? _fbb.CreateVector<uint32_t>(*run_times) : 0;
+  return skylarkhoist::fbs::Createrollout_route_counts(
+      _fbb,
+      route__,
+      calls,
+      failed,
+      run_times__);
+}
+
+flatbuffers::Offset<rollout_route_counts> Createrollout_route_counts(flatbuffers::FlatBufferBuilder &_fbb, const rollout_route_countsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct rollout_target_countsT : public flatbuffers::NativeTable {
+  typedef rollout_target_counts TableType;
+  std::string route{};
+  std::string target{};
+  uint32_t calls = 0;
+  uint32_t failed = 0;
+  uint32_t slow = 0;
+  uint32_t lost = 0;
+};
+
+struct rollout_target_counts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_target_countsT NativeTableType;
+  typedef rollout_target_countsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_TARGET = 6,
+    VT_CALLS = 8,
+    VT_FAILED = 10,
+    VT_SLOW = 12,
+    VT_LOST = 14
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
   }
-  const skylarkhoist::fbs::rate_request *body_as_rate_request() const {
-    return body_type() == skylarkhoist::fbs::payload::rate_request ? static_cast<const skylarkhoist::fbs::rate_request *>(body()) : nullptr;
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
   }
-  const skylarkhoist::fbs::rate_grant *body_as_rate_grant() const {
-    return body_type() == skylarkhoist::fbs::payload::rate_grant ? static_cast<const skylarkhoist::fbs::rate_grant *>(body()) : nullptr;
+  uint32_t calls() const {
+    return GetField<uint32_t>(VT_CALLS, 0);
   }
-  const skylarkhoist::fbs::dedup_claim *body_as_dedup_claim() const {
-    return body_type() == skylarkhoist::fbs::payload::dedup_claim ? static_cast<const skylarkhoist::fbs::dedup_claim *>(body()) : nullptr;
+  uint32_t failed() const {
+    return GetField<uint32_t>(VT_FAILED, 0);
   }
-  const skylarkhoist::fbs::dedup_verdict *body_as_dedup_verdict() const {
-    return body_type() == skylarkhoist::fbs::payload::dedup_verdict ? static_cast<const skylarkhoist::fbs::dedup_verdict *>(body()) : nullptr;
+  uint32_t slow() const {
+    return GetField<uint32_t>(VT_SLOW, 0);
   }
-  const skylarkhoist::fbs::dedup_result *body_as_dedup_result() const {
-    return body_type() == skylarkhoist::fbs::payload::dedup_result ? static_cast<const skylarkhoist::fbs::dedup_result *>(body()) : nullptr;
+  uint32_t lost() const {
+    return GetField<uint32_t>(VT_LOST, 0);
   }
-  const skylarkhoist::fbs::dedup_sync *body_as_dedup_sync() const {
-    return body_type() == skylarkhoist::fbs::payload::dedup_sync ? static_cast<const skylarkhoist::fbs::dedup_sync *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<uint32_t>(verifier, VT_CALLS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SLOW, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LOST, 4) &&
+           verifier.EndTable();
   }
-  const skylarkhoist::fbs::suspect *body_as_suspect() const {
-    return body_type() == skylarkhoist::fbs::payload::suspect ? static_cast<const skylarkhoist::fbs::suspect *>(body()) : nullptr;
+  rollout_target_countsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rollout_target_countsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rollout_target_counts> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_target_countsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct rollout_target_countsBuilder {
+  typedef rollout_target_counts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(rollout_target_counts::VT_ROUTE, route);
   }
-  const skylarkhoist::fbs::token_request *body_as_token_request() const {
-    return body_type() == skylarkhoist::fbs::payload::token_request ? static_cast<const skylarkhoist::fbs::token_request *>(body()) : nullptr;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(rollout_target_counts::VT_TARGET, target);
   }
-  const skylarkhoist::fbs::token_grant *body_as_token_grant() const {
-    return body_type() == skylarkhoist::fbs::payload::token_grant ? static_cast<const skylarkhoist::fbs::token_grant *>(body()) : nullptr;
+  void add_calls(uint32_t calls) {
+    fbb_.AddElement<uint32_t>(rollout_target_counts::VT_CALLS, calls, 0);
   }
-  const skylarkhoist::fbs::zone_view_request *body_as_zone_view_request() const {
-    return body_type() == skylarkhoist::fbs::payload::zone_view_request ? static_cast<const skylarkhoist::fbs::zone_view_request *>(body()) : nullptr;
+  void add_failed(uint32_t failed) {
+    fbb_.AddElement<uint32_t>(rollout_target_counts::VT_FAILED, failed, 0);
   }
-  const skylarkhoist::fbs::zone_view *body_as_zone_view() const {
-    return body_type() == skylarkhoist::fbs::payload::zone_view ? static_cast<const skylarkhoist::fbs::zone_view *>(body()) : nullptr;
+  void add_slow(uint32_t slow) {
+    fbb_.AddElement<uint32_t>(rollout_target_counts::VT_SLOW, slow, 0);
   }
-  const skylarkhoist::fbs::node_addresses *body_as_node_addresses() const {
-    return body_type() == skylarkhoist::fbs::payload::node_addresses ? static_cast<const skylarkhoist::fbs::node_addresses *>(body()) : nullptr;
+  void add_lost(uint32_t lost) {
+    fbb_.AddElement<uint32_t>(rollout_target_counts::VT_LOST, lost, 0);
   }
-  const skylarkhoist::fbs::target_crash *body_as_target_crash() const {
-    return body_type() == skylarkhoist::fbs::payload::target_crash ? static_cast<const skylarkhoist::fbs::target_crash *>(body()) : nullptr;
+  explicit rollout_target_countsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           Verifypayload(verifier, body(), body_type()) &&
-           verifier.EndTable();
+  flatbuffers::Offset<rollout_target_counts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_target_counts>(end);
+    return o;
   }
-  envelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(envelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const envelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const skylarkhoist::fbs::hello *envelope::body_as<skylarkhoist::fbs::hello>() const {
-  return body_as_hello();
-}
-
-template<> inline const skylarkhoist::fbs::heartbeat *envelope::body_as<skylarkhoist::fbs::heartbeat>() const {
-  return body_as_heartbeat();
-}
-
-template<> inline const skylarkhoist::fbs::call_request *envelope::body_as<skylarkhoist::fbs::call_request>() const {
-  return body_as_call_request();
+inline flatbuffers::Offset<rollout_target_counts> Createrollout_target_counts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    uint32_t calls = 0,
+    uint32_t failed = 0,
+    uint32_t slow = 0,
+    uint32_t lost = 0) {
+  rollout_target_countsBuilder builder_(_fbb);
+  builder_.add_lost(lost);
+  builder_.add_slow(slow);
+  builder_.add_failed(failed);
+  builder_.add_calls(calls);
+  builder_.add_target(target);
+  builder_.add_route(route);
+  return builder_.Finish();
 }
 
-template<> inline const skylarkhoist::fbs::call_answer *envelope::body_as<skylarkhoist::fbs::call_answer>() const {
-  return body_as_call_answer();
-}
+struct rollout_target_counts::Traits {
+  using type = rollout_target_counts;
+  static auto constexpr Create = Createrollout_target_counts;
+};
 
-template<> inline const skylarkhoist::fbs::call_cancel *envelope::body_as<skylarkhoist::fbs::call_cancel>() const {
-  return body_as_call_cancel();
+inline flatbuffers::Offset<rollout_target_counts> Createrollout_target_countsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    const char *target = nullptr,
+    uint32_t calls = 0,
+    uint32_t failed = 0,
+    uint32_t slow = 0,
+    uint32_t lost = 0) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return skylarkhoist::fbs::Createrollout_target_counts(
+      _fbb,
+      route__,
+      target__,
+      calls,
+      failed,
+      slow,
+      lost);
 }
 
-template<> inline const skylarkhoist::fbs::call_query *envelope::body_as<skylarkhoist::fbs::call_query>() const {
-  return body_as_call_query();
-}
+flatbuffers::Offset<rollout_target_counts> Createrollout_target_counts(flatbuffers::FlatBufferBuilder &_fbb, const rollout_target_countsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-template<> inline const skylarkhoist::fbs::call_state *envelope::body_as<skylarkhoist::fbs::call_state>() const {
-  return body_as_call_state();
-}
+struct rollout_reportT : public flatbuffers::NativeTable {
+  typedef rollout_report TableType;
+  std::string service{};
+  std::string target_version{};
+  uint64_t round = 0;
+  uint32_t age_ms = 0;
+  uint64_t requests = 0;
+  uint64_t sent = 0;
+  uint64_t limit = 0;
+  std::vector<std::unique_ptr<skylarkhoist::fbs::rollout_route_countsT>> routes{};
+  std::vector<std::unique_ptr<skylarkhoist::fbs::rollout_target_countsT>> targets{};
+  skylarkhoist::fbs::rollout_phase phase = skylarkhoist::fbs::rollout_phase::kRunning;
+  uint64_t known_exposed = 0;
+  uint64_t known_requests = 0;
+  rollout_reportT() = default;
+  rollout_reportT(const rollout_reportT &o);
+  rollout_reportT(rollout_reportT&&) FLATBUFFERS_NOEXCEPT = default;
+  rollout_reportT &operator=(rollout_reportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct rollout_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_reportT NativeTableType;
+  typedef rollout_reportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_TARGET_VERSION = 6,
+    VT_ROUND = 8,
+    VT_AGE_MS = 10,
+    VT_REQUESTS = 12,
+    VT_SENT = 14,
+    VT_LIMIT = 16,
+    VT_ROUTES = 18,
+    VT_TARGETS = 20,
+    VT_PHASE = 22,
+    VT_KNOWN_EXPOSED = 24,
+    VT_KNOWN_REQUESTS = 26
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *target_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET_VERSION);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  uint64_t requests() const {
+    return GetField<uint64_t>(VT_REQUESTS, 0);
+  }
+  uint64_t sent() const {
+    return GetField<uint64_t>(VT_SENT, 0);
+  }
+  uint64_t limit() const {
+    return GetField<uint64_t>(VT_LIMIT, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_route_counts>> *routes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_route_counts>> *>(VT_ROUTES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_target_counts>> *targets() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_target_counts>> *>(VT_TARGETS);
+  }
+  skylarkhoist::fbs::rollout_phase phase() const {
+    return static_cast<skylarkhoist::fbs::rollout_phase>(GetField<uint8_t>(VT_PHASE, 0));
+  }
+  uint64_t known_exposed() const {
+    return GetField<uint64_t>(VT_KNOWN_EXPOSED, 0);
+  }
+  uint64_t known_requests() const {
+    return GetField<uint64_t>(VT_KNOWN_REQUESTS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_TARGET_VERSION) &&
+           verifier.VerifyString(target_version()) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_REQUESTS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SENT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIMIT, 8) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyVector(routes()) &&
+           verifier.VerifyVectorOfTables(routes()) &&
+           VerifyOffset(verifier, VT_TARGETS) &&
+           verifier.VerifyVector(targets()) &&
+           verifier.VerifyVectorOfTables(targets()) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_EXPOSED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_REQUESTS, 8) &&
+           verifier.EndTable();
+  }
+  rollout_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rollout_reportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rollout_report> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-template<> inline const skylarkhoist::fbs::gossip *envelope::body_as<skylarkhoist::fbs::gossip>() const {
+struct rollout_reportBuilder {
+  typedef rollout_report Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(rollout_report::VT_SERVICE, service);
+  }
+  void add_target_version(flatbuffers::Offset<flatbuffers::String> target_version) {
+    fbb_.AddOffset(rollout_report::VT_TARGET_VERSION, target_version);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(rollout_report::VT_ROUND, round, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(rollout_report::VT_AGE_MS, age_ms, 0);
+  }
+  void add_requests(uint64_t requests) {
+    fbb_.AddElement<uint64_t>(rollout_report::VT_REQUESTS, requests, 0);
+  }
+  void add_sent(uint64_t sent) {
+    fbb_.AddElement<uint64_t>(rollout_report::VT_SENT, sent, 0);
+  }
+  void add_limit(uint64_t limit) {
+    fbb_.AddElement<uint64_t>(rollout_report::VT_LIMIT, limit, 0);
+  }
+  void add_routes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_route_counts>>> routes) {
+    fbb_.AddOffset(rollout_report::VT_ROUTES, routes);
+  }
+  void add_targets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_target_counts>>> targets) {
+    fbb_.AddOffset(rollout_report::VT_TARGETS, targets);
+  }
+  void add_phase(skylarkhoist::fbs::rollout_phase phase) {
+    fbb_.AddElement<uint8_t>(rollout_report::VT_PHASE, static_cast<uint8_t>(phase), 0);
+  }
+  void add_known_exposed(uint64_t known_exposed) {
+    fbb_.AddElement<uint64_t>(rollout_report::VT_KNOWN_EXPOSED, known_exposed, 0);
+  }
+  void add_known_requests(uint64_t known_requests) {
+    fbb_.AddElement<uint64_t>(rollout_report::VT_KNOWN_REQUESTS, known_requests, 0);
+  }
+  explicit rollout_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout_report> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_report>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout_report> Createrollout_report(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> target_version = 0,
+    uint64_t round = 0,
+    uint32_t age_ms = 0,
+    uint64_t requests = 0,
+    uint64_t sent = 0,
+    uint64_t limit = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_route_counts>>> routes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_target_counts>>> targets = 0,
+    skylarkhoist::fbs::rollout_phase phase = skylarkhoist::fbs::rollout_phase::kRunning,
+    uint64_t known_exposed = 0,
+    uint64_t known_requests = 0) {
+  rollout_reportBuilder builder_(_fbb);
+  builder_.add_known_requests(known_requests);
+  builder_.add_known_exposed(known_exposed);
+  builder_.add_limit(limit);
+  builder_.add_sent(sent);
+  builder_.add_requests(requests);
+  builder_.add_round(round);
+  builder_.add_targets(targets);
+  builder_.add_routes(routes);
+  builder_.add_age_ms(age_ms);
+  builder_.add_target_version(target_version);
+  builder_.add_service(service);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+struct rollout_report::Traits {
+  using type = rollout_report;
+  static auto constexpr Create = Createrollout_report;
+};
+
+inline flatbuffers::Offset<rollout_report> Createrollout_reportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *target_version = nullptr,
+    uint64_t round = 0,
+    uint32_t age_ms = 0,
+    uint64_t requests = 0,
+    uint64_t sent = 0,
+    uint64_t limit = 0,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_route_counts>> *routes = nullptr,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_target_counts>> *targets = nullptr,
+    skylarkhoist::fbs::rollout_phase phase = skylarkhoist::fbs::rollout_phase::kRunning,
+    uint64_t known_exposed = 0,
+    uint64_t known_requests = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto target_version__ = target_version ? _fbb.CreateString(target_version) : 0;
+  auto routes__ = routes ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::rollout_route_counts>>(*routes) : 0;
+  auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::rollout_target_counts>>(*targets) : 0;
+  return skylarkhoist::fbs::Createrollout_report(
+      _fbb,
+      service__,
+      target_version__,
+      round,
+      age_ms,
+      requests,
+      sent,
+      limit,
+      routes__,
+      targets__,
+      phase,
+      known_exposed,
+      known_requests);
+}
+
+flatbuffers::Offset<rollout_report> Createrollout_report(flatbuffers::FlatBufferBuilder &_fbb, const rollout_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct rollout_slow_timeT : public flatbuffers::NativeTable {
+  typedef rollout_slow_time TableType;
+  std::string route{};
+  uint32_t slow_us = 0;
+};
+
+struct rollout_slow_time FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_slow_timeT NativeTableType;
+  typedef rollout_slow_timeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_SLOW_US = 6
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  uint32_t slow_us() const {
+    return GetField<uint32_t>(VT_SLOW_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOW_US, 4) &&
+           verifier.EndTable();
+  }
+  rollout_slow_timeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rollout_slow_timeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rollout_slow_time> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_slow_timeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct rollout_slow_timeBuilder {
+  typedef rollout_slow_time Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(rollout_slow_time::VT_ROUTE, route);
+  }
+  void add_slow_us(uint32_t slow_us) {
+    fbb_.AddElement<uint32_t>(rollout_slow_time::VT_SLOW_US, slow_us, 0);
+  }
+  explicit rollout_slow_timeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout_slow_time> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_slow_time>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout_slow_time> Createrollout_slow_time(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint32_t slow_us = 0) {
+  rollout_slow_timeBuilder builder_(_fbb);
+  builder_.add_slow_us(slow_us);
+  builder_.add_route(route);
+  return builder_.Finish();
+}
+
+struct rollout_slow_time::Traits {
+  using type = rollout_slow_time;
+  static auto constexpr Create = Createrollout_slow_time;
+};
+
+inline flatbuffers::Offset<rollout_slow_time> Createrollout_slow_timeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    uint32_t slow_us = 0) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  return skylarkhoist::fbs::Createrollout_slow_time(
+      _fbb,
+      route__,
+      slow_us);
+}
+
+flatbuffers::Offset<rollout_slow_time> Createrollout_slow_time(flatbuffers::FlatBufferBuilder &_fbb, const rollout_slow_timeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct rollout_grantT : public flatbuffers::NativeTable {
+  typedef rollout_grant TableType;
+  std::string service{};
+  std::string target_version{};
+  uint64_t round = 0;
+  uint64_t limit = 0;
+  skylarkhoist::fbs::rollout_phase phase = skylarkhoist::fbs::rollout_phase::kRunning;
+  uint64_t exposed = 0;
+  uint64_t requests = 0;
+  std::vector<std::unique_ptr<skylarkhoist::fbs::rollout_slow_timeT>> slow_times{};
+  uint32_t focus = 0;
+  rollout_grantT() = default;
+  rollout_grantT(const rollout_grantT &o);
+  rollout_grantT(rollout_grantT&&) FLATBUFFERS_NOEXCEPT = default;
+  rollout_grantT &operator=(rollout_grantT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct rollout_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rollout_grantT NativeTableType;
+  typedef rollout_grantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_TARGET_VERSION = 6,
+    VT_ROUND = 8,
+    VT_LIMIT = 10,
+    VT_PHASE = 12,
+    VT_EXPOSED = 14,
+    VT_REQUESTS = 16,
+    VT_SLOW_TIMES = 18,
+    VT_FOCUS = 20
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *target_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET_VERSION);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  uint64_t limit() const {
+    return GetField<uint64_t>(VT_LIMIT, 0);
+  }
+  skylarkhoist::fbs::rollout_phase phase() const {
+    return static_cast<skylarkhoist::fbs::rollout_phase>(GetField<uint8_t>(VT_PHASE, 0));
+  }
+  uint64_t exposed() const {
+    return GetField<uint64_t>(VT_EXPOSED, 0);
+  }
+  uint64_t requests() const {
+    return GetField<uint64_t>(VT_REQUESTS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_slow_time>> *slow_times() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_slow_time>> *>(VT_SLOW_TIMES);
+  }
+  uint32_t focus() const {
+    return GetField<uint32_t>(VT_FOCUS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_TARGET_VERSION) &&
+           verifier.VerifyString(target_version()) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIMIT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_EXPOSED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REQUESTS, 8) &&
+           VerifyOffset(verifier, VT_SLOW_TIMES) &&
+           verifier.VerifyVector(slow_times()) &&
+           verifier.VerifyVectorOfTables(slow_times()) &&
+           VerifyField<uint32_t>(verifier, VT_FOCUS, 4) &&
+           verifier.EndTable();
+  }
+  rollout_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(rollout_grantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<rollout_grant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct rollout_grantBuilder {
+  typedef rollout_grant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(rollout_grant::VT_SERVICE, service);
+  }
+  void add_target_version(flatbuffers::Offset<flatbuffers::String> target_version) {
+    fbb_.AddOffset(rollout_grant::VT_TARGET_VERSION, target_version);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(rollout_grant::VT_ROUND, round, 0);
+  }
+  void add_limit(uint64_t limit) {
+    fbb_.AddElement<uint64_t>(rollout_grant::VT_LIMIT, limit, 0);
+  }
+  void add_phase(skylarkhoist::fbs::rollout_phase phase) {
+    fbb_.AddElement<uint8_t>(rollout_grant::VT_PHASE, static_cast<uint8_t>(phase), 0);
+  }
+  void add_exposed(uint64_t exposed) {
+    fbb_.AddElement<uint64_t>(rollout_grant::VT_EXPOSED, exposed, 0);
+  }
+  void add_requests(uint64_t requests) {
+    fbb_.AddElement<uint64_t>(rollout_grant::VT_REQUESTS, requests, 0);
+  }
+  void add_slow_times(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_slow_time>>> slow_times) {
+    fbb_.AddOffset(rollout_grant::VT_SLOW_TIMES, slow_times);
+  }
+  void add_focus(uint32_t focus) {
+    fbb_.AddElement<uint32_t>(rollout_grant::VT_FOCUS, focus, 0);
+  }
+  explicit rollout_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rollout_grant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rollout_grant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rollout_grant> Createrollout_grant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> target_version = 0,
+    uint64_t round = 0,
+    uint64_t limit = 0,
+    skylarkhoist::fbs::rollout_phase phase = skylarkhoist::fbs::rollout_phase::kRunning,
+    uint64_t exposed = 0,
+    uint64_t requests = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_slow_time>>> slow_times = 0,
+    uint32_t focus = 0) {
+  rollout_grantBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  builder_.add_exposed(exposed);
+  builder_.add_limit(limit);
+  builder_.add_round(round);
+  builder_.add_focus(focus);
+  builder_.add_slow_times(slow_times);
+  builder_.add_target_version(target_version);
+  builder_.add_service(service);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+struct rollout_grant::Traits {
+  using type = rollout_grant;
+  static auto constexpr Create = Createrollout_grant;
+};
+
+inline flatbuffers::Offset<rollout_grant> Createrollout_grantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *target_version = nullptr,
+    uint64_t round = 0,
+    uint64_t limit = 0,
+    skylarkhoist::fbs::rollout_phase phase = skylarkhoist::fbs::rollout_phase::kRunning,
+    uint64_t exposed = 0,
+    uint64_t requests = 0,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::rollout_slow_time>> *slow_times = nullptr,
+    uint32_t focus = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto target_version__ = target_version ? _fbb.CreateString(target_version) : 0;
+  auto slow_times__ = slow_times ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::rollout_slow_time>>(*slow_times) : 0;
+  return skylarkhoist::fbs::Createrollout_grant(
+      _fbb,
+      service__,
+      target_version__,
+      round,
+      limit,
+      phase,
+      exposed,
+      requests,
+      slow_times__,
+      focus);
+}
+
+flatbuffers::Offset<rollout_grant> Createrollout_grant(flatbuffers::FlatBufferBuilder &_fbb, const rollout_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct envelopeT : public flatbuffers::NativeTable {
+  typedef envelope TableType;
+  skylarkhoist::fbs::payloadUnion body{};
+};
+
+struct envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef envelopeT NativeTableType;
+  typedef envelopeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BODY_TYPE = 4,
+    VT_BODY = 6
+  };
+  skylarkhoist::fbs::payload body_type() const {
+    return static_cast<skylarkhoist::fbs::payload>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const skylarkhoist::fbs::hello *body_as_hello() const {
+    return body_type() == skylarkhoist::fbs::payload::hello ? static_cast<const skylarkhoist::fbs::hello *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::heartbeat *body_as_heartbeat() const {
+    return body_type() == skylarkhoist::fbs::payload::heartbeat ? static_cast<const skylarkhoist::fbs::heartbeat *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::call_request *body_as_call_request() const {
+    return body_type() == skylarkhoist::fbs::payload::call_request ? static_cast<const skylarkhoist::fbs::call_request *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::call_answer *body_as_call_answer() const {
+    return body_type() == skylarkhoist::fbs::payload::call_answer ? static_cast<const skylarkhoist::fbs::call_answer *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::call_cancel *body_as_call_cancel() const {
+    return body_type() == skylarkhoist::fbs::payload::call_cancel ? static_cast<const skylarkhoist::fbs::call_cancel *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::call_query *body_as_call_query() const {
+    return body_type() == skylarkhoist::fbs::payload::call_query ? static_cast<const skylarkhoist::fbs::call_query *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::call_state *body_as_call_state() const {
+    return body_type() == skylarkhoist::fbs::payload::call_state ? static_cast<const skylarkhoist::fbs::call_state *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::gossip *body_as_gossip() const {
+    return body_type() == skylarkhoist::fbs::payload::gossip ? static_cast<const skylarkhoist::fbs::gossip *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::config_news *body_as_config_news() const {
+    return body_type() == skylarkhoist::fbs::payload::config_news ? static_cast<const skylarkhoist::fbs::config_news *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::config_request *body_as_config_request() const {
+    return body_type() == skylarkhoist::fbs::payload::config_request ? static_cast<const skylarkhoist::fbs::config_request *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::config_state *body_as_config_state() const {
+    return body_type() == skylarkhoist::fbs::payload::config_state ? static_cast<const skylarkhoist::fbs::config_state *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::lease_request *body_as_lease_request() const {
+    return body_type() == skylarkhoist::fbs::payload::lease_request ? static_cast<const skylarkhoist::fbs::lease_request *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::lease_grant *body_as_lease_grant() const {
+    return body_type() == skylarkhoist::fbs::payload::lease_grant ? static_cast<const skylarkhoist::fbs::lease_grant *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::rate_request *body_as_rate_request() const {
+    return body_type() == skylarkhoist::fbs::payload::rate_request ? static_cast<const skylarkhoist::fbs::rate_request *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::rate_grant *body_as_rate_grant() const {
+    return body_type() == skylarkhoist::fbs::payload::rate_grant ? static_cast<const skylarkhoist::fbs::rate_grant *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::dedup_claim *body_as_dedup_claim() const {
+    return body_type() == skylarkhoist::fbs::payload::dedup_claim ? static_cast<const skylarkhoist::fbs::dedup_claim *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::dedup_verdict *body_as_dedup_verdict() const {
+    return body_type() == skylarkhoist::fbs::payload::dedup_verdict ? static_cast<const skylarkhoist::fbs::dedup_verdict *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::dedup_result *body_as_dedup_result() const {
+    return body_type() == skylarkhoist::fbs::payload::dedup_result ? static_cast<const skylarkhoist::fbs::dedup_result *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::dedup_sync *body_as_dedup_sync() const {
+    return body_type() == skylarkhoist::fbs::payload::dedup_sync ? static_cast<const skylarkhoist::fbs::dedup_sync *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::suspect *body_as_suspect() const {
+    return body_type() == skylarkhoist::fbs::payload::suspect ? static_cast<const skylarkhoist::fbs::suspect *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::token_request *body_as_token_request() const {
+    return body_type() == skylarkhoist::fbs::payload::token_request ? static_cast<const skylarkhoist::fbs::token_request *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::token_grant *body_as_token_grant() const {
+    return body_type() == skylarkhoist::fbs::payload::token_grant ? static_cast<const skylarkhoist::fbs::token_grant *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::zone_view_request *body_as_zone_view_request() const {
+    return body_type() == skylarkhoist::fbs::payload::zone_view_request ? static_cast<const skylarkhoist::fbs::zone_view_request *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::zone_view *body_as_zone_view() const {
+    return body_type() == skylarkhoist::fbs::payload::zone_view ? static_cast<const skylarkhoist::fbs::zone_view *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::node_addresses *body_as_node_addresses() const {
+    return body_type() == skylarkhoist::fbs::payload::node_addresses ? static_cast<const skylarkhoist::fbs::node_addresses *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::target_crash *body_as_target_crash() const {
+    return body_type() == skylarkhoist::fbs::payload::target_crash ? static_cast<const skylarkhoist::fbs::target_crash *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::rollout_report *body_as_rollout_report() const {
+    return body_type() == skylarkhoist::fbs::payload::rollout_report ? static_cast<const skylarkhoist::fbs::rollout_report *>(body()) : nullptr;
+  }
+  const skylarkhoist::fbs::rollout_grant *body_as_rollout_grant() const {
+    return body_type() == skylarkhoist::fbs::payload::rollout_grant ? static_cast<const skylarkhoist::fbs::rollout_grant *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           Verifypayload(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  envelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(envelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const envelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const skylarkhoist::fbs::hello *envelope::body_as<skylarkhoist::fbs::hello>() const {
+  return body_as_hello();
+}
+
+template<> inline const skylarkhoist::fbs::heartbeat *envelope::body_as<skylarkhoist::fbs::heartbeat>() const {
+  return body_as_heartbeat();
+}
+
+template<> inline const skylarkhoist::fbs::call_request *envelope::body_as<skylarkhoist::fbs::call_request>() const {
+  return body_as_call_request();
+}
+
+template<> inline const skylarkhoist::fbs::call_answer *envelope::body_as<skylarkhoist::fbs::call_answer>() const {
+  return body_as_call_answer();
+}
+
+template<> inline const skylarkhoist::fbs::call_cancel *envelope::body_as<skylarkhoist::fbs::call_cancel>() const {
+  return body_as_call_cancel();
+}
+
+template<> inline const skylarkhoist::fbs::call_query *envelope::body_as<skylarkhoist::fbs::call_query>() const {
+  return body_as_call_query();
+}
+
+template<> inline const skylarkhoist::fbs::call_state *envelope::body_as<skylarkhoist::fbs::call_state>() const {
+  return body_as_call_state();
+}
+
+template<> inline const skylarkhoist::fbs::gossip *envelope::body_as<skylarkhoist::fbs::gossip>() const {
   return body_as_gossip();
 }
 
@@ -6680,6 +7585,14 @@
   return body_as_target_crash();
 }
 
+template<> inline const skylarkhoist::fbs::rollout_report *envelope::body_as<skylarkhoist::fbs::rollout_report>() const {
+  return body_as_rollout_report();
+}
+
+template<> inline const skylarkhoist::fbs::rollout_grant *envelope::body_as<skylarkhoist::fbs::rollout_grant>() const {
+  return body_as_rollout_grant();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7002,7 +7915,9 @@
       (lhs.caller_service == rhs.caller_service) &&
       (lhs.route == rhs.route) &&
       (lhs.target_left_ms == rhs.target_left_ms) &&
-      ((lhs.target == rhs.target) || (lhs.target && rhs.target && *lhs.target == *rhs.target));
+      ((lhs.target == rhs.target) || (lhs.target && rhs.target && *lhs.target == *rhs.target)) &&
+      (lhs.required_version == rhs.required_version) &&
+      (lhs.excluded_version == rhs.excluded_version);
 }
 
 inline bool operator!=(const call_requestT &lhs, const call_requestT &rhs) {
@@ -7030,7 +7945,9 @@
         caller_service(o.caller_service),
         route(o.route),
         target_left_ms(o.target_left_ms),
-        target((o.target) ? new skylarkhoist::fbs::target_reportT(*o.target) : nullptr) {
+        target((o.target) ? new skylarkhoist::fbs::target_reportT(*o.target) : nullptr),
+        required_version(o.required_version),
+        excluded_version(o.excluded_version) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new skylarkhoist::fbs::headerT(*headers_) : nullptr); }
 }
@@ -7057,6 +7974,8 @@
   std::swap(route, o.route);
   std::swap(target_left_ms, o.target_left_ms);
   std::swap(target, o.target);
+  std::swap(required_version, o.required_version);
+  std::swap(excluded_version, o.excluded_version);
   return *this;
 }
 
@@ -7090,6 +8009,8 @@
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = target_left_ms(); _o->target_left_ms = _e; }
   { auto _e = target(); if (_e) _o->target = std::unique_ptr<skylarkhoist::fbs::target_reportT>(_e->UnPack(_resolver)); }
+  { auto _e = required_version(); if (_e) _o->required_version = _e->str(); }
+  { auto _e = excluded_version(); if (_e) _o->excluded_version = _e->str(); }
 }
 
 inline flatbuffers::Offset<call_request> call_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7121,6 +8042,8 @@
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _target_left_ms = _o->target_left_ms;
   auto _target = _o->target ? Createtarget_report(_fbb, _o->target.get(), _rehasher) : 0;
+  auto _required_version = _o->required_version.empty() ? 0 : _fbb.CreateString(_o->required_version);
+  auto _excluded_version = _o->excluded_version.empty() ? 0 : _fbb.CreateString(_o->excluded_version);
   return skylarkhoist::fbs::Createcall_request(
       _fbb,
       _id,
@@ -7143,7 +8066,9 @@
       _caller_service,
       _route,
       _target_left_ms,
-      _target);
+      _target,
+      _required_version,
+      _excluded_version);
 }
 
 
@@ -7162,7 +8087,8 @@
       (lhs.body == rhs.body) &&
       (lhs.total_length == rhs.total_length) &&
       (lhs.body_checksum == rhs.body_checksum) &&
-      ((lhs.target == rhs.target) || (lhs.target && rhs.target && *lhs.target == *rhs.target));
+      ((lhs.target == rhs.target) || (lhs.target && rhs.target && *lhs.target == *rhs.target)) &&
+      (lhs.run_us == rhs.run_us);
 }
 
 inline bool operator!=(const call_answerT &lhs, const call_answerT &rhs) {
@@ -7182,7 +8108,8 @@
         body(o.body),
         total_length(o.total_length),
         body_checksum(o.body_checksum),
-        target((o.target) ? new skylarkhoist::fbs::target_reportT(*o.target) : nullptr) {
+        target((o.target) ? new skylarkhoist::fbs::target_reportT(*o.target) : nullptr),
+        run_us(o.run_us) {
   loads.reserve(o.loads.size());
   for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new skylarkhoist::fbs::load_levelT(*loads_) : nullptr); }
   headers.reserve(o.headers.size());
@@ -7204,6 +8131,7 @@
   std::swap(total_length, o.total_length);
   std::swap(body_checksum, o.body_checksum);
   std::swap(target, o.target);
+  std::swap(run_us, o.run_us);
   return *this;
 }
 
@@ -7230,6 +8158,7 @@
   { auto _e = total_length(); _o->total_length = _e; }
   { auto _e = body_checksum(); _o->body_checksum = _e; }
   { auto _e = target(); if (_e) _o->target = std::unique_ptr<skylarkhoist::fbs::target_reportT>(_e->UnPack(_resolver)); }
+  { auto _e = run_us(); _o->run_us = _e; }
 }
 
 inline flatbuffers::Offset<call_answer> call_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const call_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7254,6 +8183,7 @@
   auto _total_length = _o->total_length;
   auto _body_checksum = _o->body_checksum;
   auto _target = _o->target ? Createtarget_report(_fbb, _o->target.get(), _rehasher) : 0;
+  auto _run_us = _o->run_us;
   return skylarkhoist::fbs::Createcall_answer(
       _fbb,
       _id,
@@ -7269,7 +8199,8 @@
       _body,
       _total_length,
       _body_checksum,
-      _target);
+      _target,
+      _run_us);
 }
 
 
@@ -7429,7 +8360,8 @@
       (lhs.address == rhs.address) &&
       (lhs.state == rhs.state) &&
       (lhs.load_permille == rhs.load_permille) &&
-      (lhs.limit == rhs.limit);
+      (lhs.limit == rhs.limit) &&
+      (lhs.version == rhs.version);
 }
 
 inline bool operator!=(const target_entryT &lhs, const target_entryT &rhs) {
@@ -7451,6 +8383,7 @@
   { auto _e = state(); _o->state = _e; }
   { auto _e = load_permille(); _o->load_permille = _e; }
   { auto _e = limit(); _o->limit = _e; }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
 }
 
 inline flatbuffers::Offset<target_entry> target_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7466,13 +8399,15 @@
   auto _state = _o->state;
   auto _load_permille = _o->load_permille;
   auto _limit = _o->limit;
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
   return skylarkhoist::fbs::Createtarget_entry(
       _fbb,
       _service,
       _address,
       _state,
       _load_permille,
-      _limit);
+      _limit,
+      _version);
 }
 
 
@@ -9456,6 +10391,362 @@
 }
 
 
+inline bool operator==(const rollout_route_countsT &lhs, const rollout_route_countsT &rhs) {
+  return
+      (lhs.route == rhs.route) &&
+      (lhs.calls == rhs.calls) &&
+      (lhs.failed == rhs.failed) &&
+      (lhs.run_times == rhs.run_times);
+}
+
+inline bool operator!=(const rollout_route_countsT &lhs, const rollout_route_countsT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline rollout_route_countsT *rollout_route_counts::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<rollout_route_countsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rollout_route_counts::UnPackTo(rollout_route_countsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = calls(); _o->calls = _e; }
+  { auto _e = failed(); _o->failed = _e; }
+  { auto _e = run_times(); if (_e) { _o->run_times.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->run_times[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<rollout_route_counts> rollout_route_counts::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_route_countsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrollout_route_counts(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rollout_route_counts> Createrollout_route_counts(flatbuffers::FlatBufferBuilder &_fbb, const rollout_route_countsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rollout_route_countsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _calls = _o->calls;
+  auto _failed = _o->failed;
+  auto _run_times = _o->run_times.size() ? _fbb.CreateVector(_o->run_times) : 0;
+  return skylarkhoist::fbs::Createrollout_route_counts(
+      _fbb,
+      _route,
+      _calls,
+      _failed,
+      _run_times);
+}
+
+
+inline bool operator==(const rollout_target_countsT &lhs, const rollout_target_countsT &rhs) {
+  return
+      (lhs.route == rhs.route) &&
+      (lhs.target == rhs.target) &&
+      (lhs.calls == rhs.calls) &&
+      (lhs.failed == rhs.failed) &&
+      (lhs.slow == rhs.slow) &&
+      (lhs.lost == rhs.lost);
+}
+
+inline bool operator!=(const rollout_target_countsT &lhs, const rollout_target_countsT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline rollout_target_countsT *rollout_target_counts::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<rollout_target_countsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rollout_target_counts::UnPackTo(rollout_target_countsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = calls(); _o->calls = _e; }
+  { auto _e = failed(); _o->failed = _e; }
+  { auto _e = slow(); _o->slow = _e; }
+  { auto _e = lost(); _o->lost = _e; }
+}
+
+inline flatbuffers::Offset<rollout_target_counts> rollout_target_counts::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_target_countsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrollout_target_counts(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rollout_target_counts> Createrollout_target_counts(flatbuffers::FlatBufferBuilder &_fbb, const rollout_target_countsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rollout_target_countsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _calls = _o->calls;
+  auto _failed = _o->failed;
+  auto _slow = _o->slow;
+  auto _lost = _o->lost;
+  return skylarkhoist::fbs::Createrollout_target_counts(
+      _fbb,
+      _route,
+      _target,
+      _calls,
+      _failed,
+      _slow,
+      _lost);
+}
+
+
+inline bool operator==(const rollout_reportT &lhs, const rollout_reportT &rhs) {
+  return
+      (lhs.service == rhs.service) &&
+      (lhs.target_version == rhs.target_version) &&
+      (lhs.round == rhs.round) &&
+      (lhs.age_ms == rhs.age_ms) &&
+      (lhs.requests == rhs.requests) &&
+      (lhs.sent == rhs.sent) &&
+      (lhs.limit == rhs.limit) &&
+      (lhs.routes.size() == rhs.routes.size() && std::equal(lhs.routes.cbegin(), lhs.routes.cend(), rhs.routes.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::rollout_route_countsT> const &a, std::unique_ptr<skylarkhoist::fbs::rollout_route_countsT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.targets.size() == rhs.targets.size() && std::equal(lhs.targets.cbegin(), lhs.targets.cend(), rhs.targets.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::rollout_target_countsT> const &a, std::unique_ptr<skylarkhoist::fbs::rollout_target_countsT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.phase == rhs.phase) &&
+      (lhs.known_exposed == rhs.known_exposed) &&
+      (lhs.known_requests == rhs.known_requests);
+}
+
+inline bool operator!=(const rollout_reportT &lhs, const rollout_reportT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline rollout_reportT::rollout_reportT(const rollout_reportT &o)
+      : service(o.service),
+        target_version(o.target_version),
+        round(o.round),
+        age_ms(o.age_ms),
+        requests(o.requests),
+        sent(o.sent),
+        limit(o.limit),
+        phase(o.phase),
+        known_exposed(o.known_exposed),
+        known_requests(o.known_requests) {
+  routes.reserve(o.routes.size());
+  for (const auto &routes_ : o.routes) { routes.emplace_back((routes_) ? new skylarkhoist::fbs::rollout_route_countsT(*routes_) : nullptr); }
+  targets.reserve(o.targets.size());
+  for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new skylarkhoist::fbs::rollout_target_countsT(*targets_) : nullptr); }
+}
+
+inline rollout_reportT &rollout_reportT::operator=(rollout_reportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(service, o.service);
+  std::swap(target_version, o.target_version);
+  std::swap(round, o.round);
+  std::swap(age_ms, o.age_ms);
+  std::swap(requests, o.requests);
+  std::swap(sent, o.sent);
+  std::swap(limit, o.limit);
+  std::swap(routes, o.routes);
+  std::swap(targets, o.targets);
+  std::swap(phase, o.phase);
+  std::swap(known_exposed, o.known_exposed);
+  std::swap(known_requests, o.known_requests);
+  return *this;
+}
+
+inline rollout_reportT *rollout_report::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<rollout_reportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rollout_report::UnPackTo(rollout_reportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = target_version(); if (_e) _o->target_version = _e->str(); }
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = sent(); _o->sent = _e; }
+  { auto _e = limit(); _o->limit = _e; }
+  { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->routes[_i] = std::unique_ptr<skylarkhoist::fbs::rollout_route_countsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<skylarkhoist::fbs::rollout_target_countsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = known_exposed(); _o->known_exposed = _e; }
+  { auto _e = known_requests(); _o->known_requests = _e; }
+}
+
+inline flatbuffers::Offset<rollout_report> rollout_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrollout_report(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rollout_report> Createrollout_report(flatbuffers::FlatBufferBuilder &_fbb, const rollout_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rollout_reportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _target_version = _o->target_version.empty() ? 0 : _fbb.CreateString(_o->target_version);
+  auto _round = _o->round;
+  auto _age_ms = _o->age_ms;
+  auto _requests = _o->requests;
+  auto _sent = _o->sent;
+  auto _limit = _o->limit;
+  auto _routes = _o->routes.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::rollout_route_counts>> (_o->routes.size(), [](size_t i, _VectorArgs *__va) { return Createrollout_route_counts(*__va->__fbb, __va->__o->routes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::rollout_target_counts>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return Createrollout_target_counts(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _phase = _o->phase;
+  auto _known_exposed = _o->known_exposed;
+  auto _known_requests = _o->known_requests;
+  return skylarkhoist::fbs::Createrollout_report(
+      _fbb,
+      _service,
+      _target_version,
+      _round,
+      _age_ms,
+      _requests,
+      _sent,
+      _limit,
+      _routes,
+      _targets,
+      _phase,
+      _known_exposed,
+      _known_requests);
+}
+
+
+inline bool operator==(const rollout_slow_timeT &lhs, const rollout_slow_timeT &rhs) {
+  return
+      (lhs.route == rhs.route) &&
+      (lhs.slow_us == rhs.slow_us);
+}
+
+inline bool operator!=(const rollout_slow_timeT &lhs, const rollout_slow_timeT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline rollout_slow_timeT *rollout_slow_time::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<rollout_slow_timeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rollout_slow_time::UnPackTo(rollout_slow_timeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = slow_us(); _o->slow_us = _e; }
+}
+
+inline flatbuffers::Offset<rollout_slow_time> rollout_slow_time::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_slow_timeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrollout_slow_time(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rollout_slow_time> Createrollout_slow_time(flatbuffers::FlatBufferBuilder &_fbb, const rollout_slow_timeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rollout_slow_timeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _slow_us = _o->slow_us;
+  return skylarkhoist::fbs::Createrollout_slow_time(
+      _fbb,
+      _route,
+      _slow_us);
+}
+
+
+inline bool operator==(const rollout_grantT &lhs, const rollout_grantT &rhs) {
+  return
+      (lhs.service == rhs.service) &&
+      (lhs.target_version == rhs.target_version) &&
+      (lhs.round == rhs.round) &&
+      (lhs.limit == rhs.limit) &&
+      (lhs.phase == rhs.phase) &&
+      (lhs.exposed == rhs.exposed) &&
+      (lhs.requests == rhs.requests) &&
+      (lhs.slow_times.size() == rhs.slow_times.size() && std::equal(lhs.slow_times.cbegin(), lhs.slow_times.cend(), rhs.slow_times.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::rollout_slow_timeT> const &a, std::unique_ptr<skylarkhoist::fbs::rollout_slow_timeT> const &b) { return (a == b) || (a && b && *a == *b); })) &&
+      (lhs.focus == rhs.focus);
+}
+
+inline bool operator!=(const rollout_grantT &lhs, const rollout_grantT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline rollout_grantT::rollout_grantT(const rollout_grantT &o)
+      : service(o.service),
+        target_version(o.target_version),
+        round(o.round),
+        limit(o.limit),
+        phase(o.phase),
+        exposed(o.exposed),
+        requests(o.requests),
+        focus(o.focus) {
+  slow_times.reserve(o.slow_times.size());
+  for (const auto &slow_times_ : o.slow_times) { slow_times.emplace_back((slow_times_) ? new skylarkhoist::fbs::rollout_slow_timeT(*slow_times_) : nullptr); }
+}
+
+inline rollout_grantT &rollout_grantT::operator=(rollout_grantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(service, o.service);
+  std::swap(target_version, o.target_version);
+  std::swap(round, o.round);
+  std::swap(limit, o.limit);
+  std::swap(phase, o.phase);
+  std::swap(exposed, o.exposed);
+  std::swap(requests, o.requests);
+  std::swap(slow_times, o.slow_times);
+  std::swap(focus, o.focus);
+  return *this;
+}
+
+inline rollout_grantT *rollout_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<rollout_grantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void rollout_grant::UnPackTo(rollout_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = target_version(); if (_e) _o->target_version = _e->str(); }
+  { auto _e = round(); _o->round = _e; }
+  { auto _e = limit(); _o->limit = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = exposed(); _o->exposed = _e; }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = slow_times(); if (_e) { _o->slow_times.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->slow_times[_i] = std::unique_ptr<skylarkhoist::fbs::rollout_slow_timeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = focus(); _o->focus = _e; }
+}
+
+inline flatbuffers::Offset<rollout_grant> rollout_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const rollout_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrollout_grant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<rollout_grant> Createrollout_grant(flatbuffers::FlatBufferBuilder &_fbb, const rollout_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const rollout_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _target_version = _o->target_version.empty() ? 0 : _fbb.CreateString(_o->target_version);
+  auto _round = _o->round;
+  auto _limit = _o->limit;
+  auto _phase = _o->phase;
+  auto _exposed = _o->exposed;
+  auto _requests = _o->requests;
+  auto _slow_times = _o->slow_times.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::rollout_slow_time>> (_o->slow_times.size(), [](size_t i, _VectorArgs *__va) { return Createrollout_slow_time(*__va->__fbb, __va->__o->slow_times[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _focus = _o->focus;
+  return skylarkhoist::fbs::Createrollout_grant(
+      _fbb,
+      _service,
+      _target_version,
+      _round,
+      _limit,
+      _phase,
+      _exposed,
+      _requests,
+      _slow_times,
+      _focus);
+}
+
+
 inline bool operator==(const envelopeT &lhs, const envelopeT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -9604,6 +10895,14 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::target_crash *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::rollout_report: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_report *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::rollout_grant: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_grant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9727,6 +11026,14 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::target_crash *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::rollout_report: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_report *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case payload::rollout_grant: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_grant *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9838,6 +11145,14 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::target_crashT *>(value);
       return Createtarget_crash(_fbb, ptr, _rehasher).Union();
     }
+    case payload::rollout_report: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_reportT *>(value);
+      return Createrollout_report(_fbb, ptr, _rehasher).Union();
+    }
+    case payload::rollout_grant: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_grantT *>(value);
+      return Createrollout_grant(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9948,6 +11263,14 @@
       value = new skylarkhoist::fbs::target_crashT(*reinterpret_cast<skylarkhoist::fbs::target_crashT *>(u.value));
       break;
     }
+    case payload::rollout_report: {
+      value = new skylarkhoist::fbs::rollout_reportT(*reinterpret_cast<skylarkhoist::fbs::rollout_reportT *>(u.value));
+      break;
+    }
+    case payload::rollout_grant: {
+      value = new skylarkhoist::fbs::rollout_grantT(*reinterpret_cast<skylarkhoist::fbs::rollout_grantT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -10085,6 +11408,16 @@
       delete ptr;
       break;
     }
+    case payload::rollout_report: {
+      auto ptr = reinterpret_cast<skylarkhoist::fbs::rollout_reportT *>(value);
+      delete ptr;
+      break;
+    }
+    case payload::rollout_grant: {
+      auto ptr = reinterpret_cast<skylarkhoist::fbs::rollout_grantT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
