Hold back versions that no order has named

A target of a new version got calls from nodes that had not seen its order yet.

Where the settings have the bounds of rollouts, a node without an order sends calls only to the version that it saw first, until that has been away for 5 s. The status page names the versions of targets.

--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -427,6 +427,7 @@
     for (const target_view& target : node.targets) {
       targets.push_back({{"service", target.service},
                          {"address", target.address},
+                         {"version", target.version},
                          {"state", target.serving ? "serving" : "draining"},
                          {"limit", target.limit}});
     }
--- a/node/rollout_service.cc
+++ b/node/rollout_service.cc
@@ -23,6 +23,14 @@
 // A node that has had no calls for its grants for this time gives them up.
 constexpr duration kMaxUnusedTime = std::chrono::seconds(1);
 
+// Versions whose targets a node sees within this time of the first are equal
+// without an order. Nodes find each other well within it after a start.
+constexpr duration kEstablishingTime = std::chrono::seconds(3);
+// A version has ended when none of its targets was in service for this time.
+// Longer than a restart of a target, and than the loss of a link.
+constexpr duration kMaxVersionAbsence = std::chrono::seconds(5);
+constexpr duration kVersionCheckInterval = std::chrono::milliseconds(50);
+
 // Time between two reads of the state while the coordinator does not answer.
 constexpr duration kStatusReadInterval = std::chrono::seconds(1);
 
@@ -273,10 +281,34 @@
   return banned != rolled_back_.end() && banned->second.count(version) > 0;
 }
 
+version_rule rollout_service::RuleWithoutOrder(
+    const std::string& service) const {
+  const time_point now = parts_.run_loop->Now();
+  const auto [found, inserted] = established_.try_emplace(service);
+  established_versions& known = found->second;
+  if (inserted || now - known.checked_at >= kVersionCheckInterval) {
+    known.checked_at = now;
+    if (known.seen_at.empty())
+      known.established_at = now;
+    for (const target_info& target : parts_.targets->TargetsOf(service)) {
+      if (known.seen_at.count(target.version) > 0 ||
+          now - known.established_at < kEstablishingTime)
+        known.seen_at[target.version] = now;
+    }
+    for (auto each = known.seen_at.begin(); each != known.seen_at.end();)
+      each = now - each->second >= kMaxVersionAbsence
+                 ? known.seen_at.erase(each)
+                 : std::next(each);
+  }
+  return known.seen_at.size() == 1
+             ? version_rule{known.seen_at.begin()->first, ""}
+             : version_rule();
+}
+
 version_rule rollout_service::RuleOf(const std::string& service) const {
   const auto found = rollouts_.find(service);
   if (found == rollouts_.end())
-    return {};
+    return IsEnabled() ? RuleWithoutOrder(service) : version_rule();
   const std::string& version = found->second.order.target_version;
   if (found->second.phase == fbs::rollout_phase::kCompleted)
     return {version, ""};
--- a/node/rollout_service.h
+++ b/node/rollout_service.h
@@ -99,6 +99,16 @@
     std::map<std::string, prometheus::Counter*> result_counters;
   };
 
+  // The versions of a service without an order, which may get calls. Others
+  // wait for an order: it may not have reached this node yet.
+  struct established_versions {
+    time_point checked_at;
+    time_point established_at;
+    // With the time at which this node last saw a target of the version.
+    std::map<std::string, time_point> seen_at;
+  };
+
+  version_rule RuleWithoutOrder(const std::string& service) const;
   bool IsEnabled() const {
     return bounds_.exposure_share > 0 || bounds_.exposure_slack > 0;
   }
@@ -118,6 +128,7 @@
   rollout_members members_;
   // The order in force of each service.
   std::map<std::string, rollout> rollouts_;
+  mutable std::map<std::string, established_versions> established_;
   // Versions that were rolled back, by service.
   std::map<std::string, std::set<std::string>> rolled_back_;
   timer_id tick_timer_ = 0;
--- a/node/rollout_test.cc
+++ b/node/rollout_test.cc
@@ -19,7 +19,7 @@
 // 8 and 10) among real nodes. All other machines have targets of "deep".
 TEST_GROUP(rollout) {
   static constexpr size_t kMachines = 12;
-  static constexpr int kRequestsPerSecond = 200;
+  static constexpr int64_t kRequestsPerSecond = 200;
   const std::vector<size_t> new_machines = {6, 8, 10};
 
   hosted_fleet fleet{kMachines, 1};
@@ -30,6 +30,8 @@
   void setup() override {
     for (size_t machine = 0; machine < kMachines; machine += 2)
       fleet.SetTargetVersion(machine, machine < 6 ? "v1" : "v2");
+    for (size_t machine = 1; machine < kMachines; machine += 2)
+      fleet.SetTargetVersion(machine, "v1");
     fleet.store().Write(store_topic::kOperators, "rollout/front", "v2 20");
     fleet.Publish("1 100000 k1");
     fleet.Advance(seconds(2));
@@ -162,6 +164,28 @@
   CHECK_EQUAL(runs, fleet.target_counters(machine).runs);
 }
 
+// Guards against calls to a version that no order has allowed, or whose order
+// has not reached all nodes yet, and against a version that stays unused when
+// it is the only one left.
+TEST(rollout, NewVersionGetsNothingWithoutAnOrder) {
+  const auto send = [&](duration length) {
+    for (duration at = duration::zero(); at < length; at += milliseconds(20)) {
+      fleet.Send(static_cast<size_t>(++requests) % kMachines, "/inner/x", "");
+      fleet.Advance(milliseconds(20));
+    }
+  };
+  send(seconds(5));
+  const int64_t runs = fleet.target_counters(11).runs;
+  CHECK_TRUE(runs > 0);
+  fleet.SetTargetVersion(11, "v2");
+  send(seconds(6));
+  CHECK_EQUAL(runs, fleet.target_counters(11).runs);
+  for (size_t machine = 1; machine < 11; machine += 2)
+    fleet.SetTargetVersion(machine, "v2");
+  send(seconds(8));
+  CHECK_TRUE(fleet.target_counters(11).runs > runs);
+}
+
 // Guards against a fleet that starts anew after a rollout has ended and sends
 // calls to the version that was rolled back.
 TEST(rollout, RestartedFleetKeepsTheStoredState) {
