Test that grants expire at a node that is cut off

The test cut the node off while it held no grants, so that it passed with grants of any length. It now holds some at the cut, and the calls that it sends are counted, not only the runs of its own target. Grants are also bounded by half of `rollback_ms`.

--- a/node/rollout_service.cc
+++ b/node/rollout_service.cc
@@ -18,6 +18,7 @@
 
 // A grant is valid for this time after the report that it answers was sent, so
 // that a node which is cut off soon stops sending calls to the new version.
+// Also bounded by half of the time that a bad version may still get calls.
 constexpr duration kGrantValidity = std::chrono::milliseconds(800);
 
 // A node that has had no calls for its grants for this time gives them up.
@@ -223,7 +224,8 @@
   if (grant.limit > found->limit)
     found->last_sent_at = parts_.run_loop->Now();
   found->limit = std::max<uint64_t>(grant.limit, found->sent);
-  found->granted_until = found->reported_at + kGrantValidity;
+  found->granted_until =
+      found->reported_at + std::min(kGrantValidity, bounds_.rollback_time / 2);
   found->focus = grant.focus;
   for (const auto& slow : grant.slow_times) {
     if (slow != nullptr)
--- a/node/rollout_test.cc
+++ b/node/rollout_test.cc
@@ -81,6 +81,11 @@
                                                     : "";
   }
 
+  // Calls that a node has sent to the new version.
+  int64_t Sent(size_t machine) {
+    return fleet.node(machine).Status()["rollouts"][0]["sent"];
+  }
+
   size_t Coordinator() {
     const json status = fleet.node(1).Status()["rollouts"][0];
     size_t machine = 0;
@@ -146,7 +151,7 @@
 }
 
 // Guards against a node without the coordinator that still sends calls to the
-// new version, here to the target on its own machine.
+// new version, such as the target on its own machine.
 TEST(rollout, NodeThatIsCutOffSendsNothingToTheNewVersion) {
   SendLoad(seconds(5));
   const size_t machine = Coordinator() == 6 ? 8 : 6;
@@ -155,13 +160,20 @@
     if (i != machine)
       rest.insert(fleet.peer_address(i));
   }
+  // The node is granted calls for these requests and holds them at the cut.
+  for (int i = 0; i < 100; ++i)
+    fleet.Send(machine, "/safe/x", "k1");
+  fleet.Advance(milliseconds(210));
   fleet.network().Partition({fleet.peer_address(machine)}, rest);
   fleet.store().SetReachable("n" + std::to_string(machine), false);
-  fleet.Advance(seconds(1));
+  fleet.Advance(milliseconds(820));
   const int64_t runs = fleet.target_counters(machine).runs;
+  const int64_t sent = Sent(machine);
+  CHECK_TRUE(sent > 0);
   for (int i = 0; i < 50; ++i)
     fleet.SendAndWait(machine, "/safe/x", "k1", milliseconds(50));
   CHECK_EQUAL(runs, fleet.target_counters(machine).runs);
+  CHECK_EQUAL(sent, Sent(machine));
 }
 
 // Guards against calls to a version that no order has allowed, or whose order
