Read the state of a rollout before completing it

A coordinator that was paused could complete a rollout that its successor had rolled back meanwhile. It reads the state first, and keeps a final one. At 85% of the time any ready target is enough to complete, so that a good version is not rolled back because some of its targets are missing.

--- a/node/rollout_coordinator.cc
+++ b/node/rollout_coordinator.cc
@@ -27,6 +27,9 @@
 
 // The new targets can take the traffic from this part of the others' slots on.
 constexpr double kMinSlotShare = 0.5;
+// From this part of the time on, any slots do: a good version has to be
+// complete at the end of the time, also if some of its targets are missing.
+constexpr double kAnySlotsFrom = 0.85;
 
 // Adds the counts of one report.
 void AddReport(const fbs::rollout_reportT& report, rollout_totals* totals) {
@@ -262,7 +265,10 @@
     else
       other_slots += slots;
   }
-  return new_slots > 0 && new_slots >= other_slots * kMinSlotShare;
+  const bool is_late =
+      parts_.run_loop->Now() - ordered_at_ >=
+      std::chrono::duration_cast<duration>(order_.length * kAnySlotsFrom);
+  return new_slots > 0 && (is_late || new_slots >= other_slots * kMinSlotShare);
 }
 
 void rollout_coordinator::Tick() {
@@ -283,7 +289,7 @@
         break;
       case rollout_verdict::kComplete:
         if (running_is_stored_)
-          Write(fbs::rollout_phase::kCompleted);
+          Complete();
         break;
     }
   }
@@ -295,6 +301,30 @@
   });
 }
 
+// Reads the state before it is overwritten: a successor may have ended the
+// rollout while this process was paused.
+void rollout_coordinator::Complete() {
+  completing_ = true;
+  parts_.store->ReadNewest(
+      store_topic::kStatus,
+      [this, alive = std::weak_ptr<bool>(alive_)](const auto& result) {
+        if (alive.expired() || IsFinal(phase_))
+          return;
+        const auto stored = StoredPhase(result);
+        if (stored && IsFinal(*stored))
+          SetPhase(*stored, "stored");
+        else if (stored && !write_pending_)
+          Write(fbs::rollout_phase::kCompleted);
+        else
+          completing_ = false;
+        if (result && !stored && !write_pending_) {
+          // The store has lost the state since it was written.
+          running_is_stored_ = false;
+          WriteRunning();
+        }
+      });
+}
+
 void rollout_coordinator::Stop(const std::string& cause) {
   SetPhase(fbs::rollout_phase::kStopped, cause);
   if (has_read_status_ && store_timer_ == 0)
--- a/node/rollout_coordinator.h
+++ b/node/rollout_coordinator.h
@@ -94,6 +94,7 @@
   uint64_t Requests() const;
   rollout_totals Totals() const;
   bool TargetsReady() const;
+  void Complete();
   void Stop(const std::string& cause);
   void SetPhase(fbs::rollout_phase phase, const std::string& cause);
   // Tells all nodes the phase.
