--- a/decisions/node_view_table.h
+++ b/decisions/node_view_table.h
@@ -29,12 +29,14 @@
   // As in load_level of wire/messages.fbs; 0 when unknown.
   uint32_t speed_milli = 0;
   uint32_t expected_us = 0;
+  // Version of the target's program; empty when it names none.
+  std::string version;
 
   bool operator==(const target_view& other) const {
     return service == other.service && address == other.address &&
            serving == other.serving && load_permille == other.load_permille &&
            limit == other.limit && speed_milli == other.speed_milli &&
-           expected_us == other.expected_us;
+           expected_us == other.expected_us && version == other.version;
   }
 };
 
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -38,7 +38,8 @@
                              left->address == right.address &&
                              left->state == right.state &&
                              left->limit == right.limit &&
-                             left->speed_milli == right.speed_milli;
+                             left->speed_milli == right.speed_milli &&
+                             left->version == right.version;
                     });
 }
 
@@ -468,6 +469,7 @@
     item.limit = target.limit;
     item.run_time = RunTimeAt(target.limit, target.speed_milli);
     item.expected_time = std::chrono::microseconds(target.expected_us);
+    item.version = target.version;
     item.first_seen = table.ServingSince(node.address, target.address);
     found->push_back(std::move(item));
   }
--- a/node/node_view_messages.cc
+++ b/node/node_view_messages.cc
@@ -39,7 +39,8 @@
     node.targets.push_back({target->service, target->address,
                             target->state == fbs::member_state::kServing,
                             target->load_permille, target->limit,
-                            target->speed_milli, target->expected_us});
+                            target->speed_milli, target->expected_us,
+                            target->version});
   }
   return node;
 }
@@ -66,6 +67,7 @@
     described->limit = target.limit;
     described->speed_milli = target.speed_milli;
     described->expected_us = target.expected_us;
+    described->version = target.version;
     entry.targets.push_back(std::move(described));
   }
   return entry;
--- a/node/target_directory.h
+++ b/node/target_directory.h
@@ -22,6 +22,8 @@
   // As in route_candidate; zero when unknown.
   duration run_time = duration::zero();
   duration expected_time = duration::zero();
+  // Version of the target's program; empty when it names none.
+  std::string version;
   // When this node first saw the target in service.
   time_point first_seen;
   // When this node received `load_permille`.
