--- a/testing/raw_socket.cc
+++ b/testing/raw_socket.cc
@@ -63,6 +63,10 @@
   return raw_socket(accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
 }
 
+void raw_socket::DisableNagle() const {
+  skylarkhoist::DisableNagle(fd_);
+}
+
 void raw_socket::Write(const std::string& bytes) const {
   AbortUnless(TryWrite(bytes) == bytes.size() || errno != EAGAIN, "send");
 }
--- a/testing/raw_socket.h
+++ b/testing/raw_socket.h
@@ -29,6 +29,9 @@
   // Accepts a pending connection. Without one, the result is not open.
   raw_socket Accept() const;
 
+  // Makes each write leave at once as a segment of its own.
+  void DisableNagle() const;
+
   // Sends all bytes; they must fit into the socket's send buffer.
   void Write(const std::string& bytes) const;
 
