Limit memory and connections over all callers

Cause: memory was limited for each request only, so a crowd of callers could exhaust the memory of a VM. Change: connection_budget decides which connections to close when the memory of all requests that are received or in progress, or the number of open connections, exceeds a limit, and when a head or a body makes no progress for 15 s. http_server accounts for the memory that heads, bodies and chunks occupy and refuses requests that do not fit with 503 and Retry-After before the handler. Limits follow from memory_mb and max_descriptors.

--- a/node/hosted_settings.cc
+++ b/node/hosted_settings.cc
@@ -1,5 +1,6 @@
 #include "node/hosted_settings.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <set>
@@ -47,7 +48,19 @@
       "max_header_bytes": {"type": "integer", "minimum": 1024, "maximum": 262144,
         "x-must": "a whole number from 1024 to 262144"},
       "max_body_bytes": {"type": "integer", "minimum": 0, "maximum": 1073741824,
-        "x-must": "a whole number from 0 to 1073741824"}
+        "x-must": "a whole number from 0 to 1073741824"},
+      "memory_mb": {"type": "integer", "minimum": 32, "maximum": 1048576,
+        "x-must": "a whole number from 32 to 1048576"},
+      "max_descriptors": {"type": "integer", "minimum": 256, "maximum": 1048576,
+        "x-must": "a whole number from 256 to 1048576"},
+      "max_buffered_bytes": {"type": "integer", "minimum": 1048576, "maximum": 1099511627776,
+        "x-must": "a whole number from 1048576 to 1099511627776"},
+      "max_connections": {"type": "integer", "minimum": 16, "maximum": 1048576,
+        "x-must": "a whole number from 16 to 1048576"},
+      "head_timeout_s": {"type": "number", "minimum": 0.1, "maximum": 3600,
+        "x-must": "seconds from 0.1 to 3600"},
+      "body_timeout_s": {"type": "number", "minimum": 0.1, "maximum": 3600,
+        "x-must": "seconds from 0.1 to 3600"}
     }
   },
   "announcement_interval_ms": {"type": "number", "minimum": 100, "maximum": 60000,
@@ -70,8 +83,39 @@
                              TruncatedJsonText(json(address)));
 }
 
+// Sets the limits, with defaults that follow from the memory and the
+// descriptors of the process.
+void ReadLimits(const json& limits, hosted_settings* result) {
+  result->max_header_bytes =
+      limits.value("max_header_bytes", result->max_header_bytes);
+  result->max_body_bytes =
+      limits.value("max_body_bytes", result->max_body_bytes);
+  result->memory_mb = limits.value("memory_mb", result->memory_mb);
+  result->max_descriptors =
+      limits.value("max_descriptors", result->max_descriptors);
+  result->max_buffered_bytes = limits.value(
+      "max_buffered_bytes",
+      DefaultMaxBufferedBytes(result->memory_mb, result->max_body_bytes));
+  result->max_connections =
+      limits.value("max_connections", result->max_descriptors / 2);
+  const auto read_time = [&limits](const char* name, duration* time) {
+    using seconds = std::chrono::duration<double>;
+    if (limits.contains(name))
+      *time = std::chrono::duration_cast<duration>(
+          seconds(limits.at(name).get<double>()));
+  };
+  read_time("head_timeout_s", &result->head_timeout);
+  read_time("body_timeout_s", &result->body_timeout);
+}
+
 }  // namespace
 
+// A body is received in buffers that are up to an eighth larger than it.
+size_t DefaultMaxBufferedBytes(size_t memory_mb, size_t max_body_bytes) {
+  return std::max((memory_mb << 20U) / 2,
+                  max_body_bytes + max_body_bytes / 8 + (size_t{8} << 20U));
+}
+
 tl::expected<hosted_settings, findings> ParseHostedSettings(
     std::string_view text) {
   const auto value = ParseJson(text);
@@ -107,13 +151,8 @@
   }
   if (result.regions.count(result.zone) == 0)
     problems.Add("/zone", "must be one of the zones in /zones");
-  if (value->contains("limits")) {
-    const json& limits = value->at("limits");
-    result.max_header_bytes =
-        limits.value("max_header_bytes", result.max_header_bytes);
-    result.max_body_bytes =
-        limits.value("max_body_bytes", result.max_body_bytes);
-  }
+  if (value->contains("limits"))
+    ReadLimits(value->at("limits"), &result);
   using milliseconds = std::chrono::duration<double, std::milli>;
   using seconds = std::chrono::duration<double>;
   if (value->contains("announcement_interval_ms"))
--- a/node/hosted_settings.h
+++ b/node/hosted_settings.h
@@ -11,6 +11,8 @@
 
 namespace skylarkhoist {
 
+size_t DefaultMaxBufferedBytes(size_t memory_mb, size_t max_body_bytes);
+
 // Start-up settings of a hosted node's process, from a JSON file. Operators
 // change everything else at run time through the configuration in the store.
 struct hosted_settings {
@@ -36,6 +38,24 @@
   size_t max_header_bytes = size_t{64} << 10;
   size_t max_body_bytes = size_t{64} << 20;
 
+  // Memory and file descriptors that the process may use; the defaults are
+  // those of the smallest VM. The two limits below follow from them.
+  size_t memory_mb = 160;
+  size_t max_descriptors = 4100;
+  // Limit on the memory of all requests together that the request listener
+  // receives or that are in progress; a request in progress counts as several
+  // copies of its body. By default half of the memory, but enough to receive a
+  // body of max_body_bytes. Beyond it, connections that make no progress are
+  // closed, and large requests get 503.
+  size_t max_buffered_bytes = DefaultMaxBufferedBytes(160, size_t{64} << 20);
+  // Limit on open connections of the request listener, by default half of the
+  // descriptors. Beyond it, the connections that were idle longest are closed.
+  size_t max_connections = 2050;
+  // Time for receiving a head, and time in which a body has to grow by 4 KB or
+  // to end. A connection that takes longer is closed.
+  duration head_timeout = std::chrono::seconds(15);
+  duration body_timeout = std::chrono::seconds(15);
+
   // Time between two announcements of the target.
   duration announcement_interval = std::chrono::milliseconds(1500);
   // Time after the stop signal at which the process ends even if requests are
--- a/testing/client_crowd_test.cc
+++ b/testing/client_crowd_test.cc
@@ -34,6 +34,7 @@
 // The largest crowd has 64 connections.
 constexpr size_t kMaxDescriptors = 200;
 constexpr size_t kBodyBytes = size_t{4} << 20U;
+constexpr size_t kLargestBodyBytes = size_t{64} << 20U;
 constexpr char kHost[] = "crowd.example";
 
 std::string PostHead(const std::string& framing) {
@@ -114,6 +115,7 @@
     settings.service = "shop";
     settings.zone = "a";
     settings.id = "w0";
+    settings.max_body_bytes = kLargestBodyBytes;
     worker = std::make_unique<soak_worker>(&loop, settings, &random,
                                            [](const http_request&) {});
     worker->StartReports();
@@ -202,7 +204,7 @@
     return false;
   }
 
-  bool IsServed() {
+  bool IsServed(const std::string& body = "order") {
     static int last_id = 0;
     http_request request;
     request.method = "POST";
@@ -212,7 +214,7 @@
     request.headers.Add("X-Deadline-Ms", "3000");
     request.headers.Add("X-Request-Id",
                         "ordinary-" + std::to_string(++last_id));
-    request.body = "order";
+    request.body = body;
     return IsServedAt(Address(7000), request);
   }
 
@@ -295,6 +297,14 @@
   return result;
 }
 
+// Guards against limits over all connections that refuse the largest legal
+// request in calm.
+TEST(client_crowd, LargestBodyIsServedAlone) {
+  CHECK_TRUE(IsServed(std::string(kLargestBodyBytes, 'x')));
+  if (std::getenv("CLIENT_CROWD_FIGURES") != nullptr)
+    std::printf("peak %zu KB\n", PeakResidentKb());
+}
+
 // (a) Guards against complete heads over the limit that exhaust the memory
 // while they are received. Short fields cost far more than their bytes.
 TEST(client_crowd, HeadsOverTheLimit) {
--- a/testing/soak_worker.cc
+++ b/testing/soak_worker.cc
@@ -14,9 +14,10 @@
 constexpr duration kMinRunTime = std::chrono::milliseconds(5);
 constexpr size_t kBodyPaddingBytes = 600;
 
-http_server_settings ServerSettings(const std::string& address) {
+http_server_settings ServerSettings(const soak_worker_settings& worker) {
   http_server_settings settings;
-  settings.listen_address = address;
+  settings.listen_address = worker.listen_address;
+  settings.max_body_bytes = worker.max_body_bytes;
   settings.name = "worker";
   return settings;
 }
@@ -34,7 +35,7 @@
       client_(loop, {}, nullptr),
       server_(
           loop,
-          ServerSettings(settings_.listen_address),
+          ServerSettings(settings_),
           [this](const http_request& request,
                  const std::shared_ptr<http_exchange>& exchange) {
             Handle(request, exchange);
--- a/testing/soak_worker.h
+++ b/testing/soak_worker.h
@@ -26,6 +26,7 @@
   std::string id;
   int slots = 64;
   duration report_interval = std::chrono::milliseconds(300);
+  size_t max_body_bytes = size_t{8} << 20U;
 };
 
 // Stand-in for a worker of the platform. It sends status reports to its node,
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -15,6 +15,7 @@
 #include <cstring>
 #include <utility>
 
+#include "kernel/log.h"
 #include "wire/address.h"
 #include "wire/http_fields.h"
 
@@ -26,9 +27,51 @@
 // 431.
 constexpr size_t kEvhttpMaxHeaderBytes = 256U << 10U;
 
-// Maximum size of one socket read or write; the default of libevent is 16 KiB.
+// Maximum size of one socket write; the default of libevent is 16 KiB. The
+// budget limits reads.
 constexpr size_t kMaxBytesPerSocketCall = 256U << 10U;
 
+// The body is moved out of evhttp's buffer in parts of this size, so that it is
+// not held twice.
+constexpr size_t kBodyPartBytes = 256U << 10U;
+
+// Connections are checked for missing progress at this interval.
+constexpr auto kBudgetCheckInterval = std::chrono::milliseconds(500);
+// A shortage has ended this long after the last closure or refusal.
+constexpr auto kShortageEnd = std::chrono::seconds(5);
+constexpr char kRetryAfterSeconds[] = "1";
+
+// What a request in progress occupies, in multiples of its body: the entry
+// keeps it for further attempts, the executor holds the received call, and the
+// request is in the buffer of the connection to the target.
+constexpr size_t kBodyCopies = 3;
+
+// Unused part of the buffers that received data is in, besides a share of the
+// data. Of a large buffer only the part in use is resident.
+constexpr size_t kUnusedBufferMemory = 4096;
+constexpr size_t kUnusedBufferShare = 16;
+// evhttp moves each complete chunk of a chunked body to another buffer. A chunk
+// that arrived alone takes the buffer that it was read into with it, which has
+// at least this size.
+constexpr size_t kMinChunkMemory = 544;
+// evhttp allocates a struct and two strings for each header field.
+constexpr size_t kMemoryPerFieldLine = 128;
+// The exchange, the strings of the request and the call of the node.
+constexpr size_t kMemoryPerRequest = size_t{4} << 10U;
+
+const char* CauseName(closure_cause cause) {
+  switch (cause) {
+    case closure_cause::kMemory:
+      return "memory_short";
+    case closure_cause::kConnections:
+      return "too_many_connections";
+    case closure_cause::kHeadTimeout:
+      return "head_timeout";
+    default:
+      return "body_timeout";
+  }
+}
+
 // A failed accept disables the listener; it is enabled again at this interval.
 // Retrying accept at once would cause a busy loop.
 constexpr auto kAcceptRetryInterval = std::chrono::milliseconds(250);
@@ -109,6 +152,57 @@
   ~open_exchange() { StopWatching(); }
 };
 
+// An open connection, with what is known of the head that it is sending.
+struct http_server::client {
+  connection_budget::connection_id id = 0;
+  http_server* server = nullptr;
+  bufferevent* stream = nullptr;
+  evbuffer_cb_entry* input_callback = nullptr;
+  // Null until Attach.
+  evhttp_connection* connection = nullptr;
+  timer_id attach_timer = 0;
+  bool in_head = true;
+  // Whether the current line has no bytes but a carriage return so far.
+  bool line_is_empty = true;
+  size_t head_lines = 0;
+  size_t head_bytes = 0;
+  // What the chunks that evhttp has moved occupy.
+  size_t chunk_memory = 0;
+  // Whether evhttp moved data since the last read.
+  bool moved_data = false;
+
+  void StartHead() {
+    in_head = true;
+    line_is_empty = true;
+    head_lines = 0;
+    head_bytes = 0;
+    chunk_memory = 0;
+    moved_data = false;
+  }
+
+  // Memory of the parsed part of the head; a part is copied while it is parsed.
+  size_t HeadMemory() const {
+    return 2 * head_bytes + head_lines * kMemoryPerFieldLine;
+  }
+
+  // Reads part of a head up to its end.
+  void ScanHead(std::string_view part) {
+    for (const char byte : part) {
+      ++head_bytes;
+      if (byte == '\n') {
+        ++head_lines;
+        if (line_is_empty) {
+          in_head = false;
+          break;
+        }
+        line_is_empty = true;
+      } else if (byte != '\r') {
+        line_is_empty = false;
+      }
+    }
+  }
+};
+
 http_exchange::~http_exchange() {
   if (request_ == nullptr)
     return;
@@ -136,6 +230,7 @@
       settings_(std::move(settings)),
       handler_(std::move(handler)),
       evhttp_(evhttp_new(loop->base())),
+      budget_(settings_.budget),
       requests_(counters->Counter("skylarkhoist_http_requests_total",
                                   "Requests passed to the handler",
                                   {{"listener", settings_.name}})),
@@ -159,8 +254,27 @@
       bad_request_(counters->Counter(
           "skylarkhoist_http_refused_total",
           "Requests refused before the handler",
-          {{"listener", settings_.name}, {"reason", "bad_request"}})) {
-  evhttp_set_max_headers_size(evhttp_, kEvhttpMaxHeaderBytes);
+          {{"listener", settings_.name}, {"reason", "bad_request"}})),
+      memory_short_(counters->Counter(
+          "skylarkhoist_http_refused_total",
+          "Requests refused before the handler",
+          {{"listener", settings_.name}, {"reason", "memory_short"}})),
+      held_bytes_(counters->Gauge(
+          "skylarkhoist_http_held_bytes",
+          "Memory of requests that are being received or in progress",
+          {{"listener", settings_.name}})),
+      open_connections_(counters->Gauge("skylarkhoist_http_connections",
+                                        "Open connections",
+                                        {{"listener", settings_.name}})) {
+  for (int i = 0; i < static_cast<int>(closure_cause::kCount); ++i)
+    closures_.push_back(&counters->Counter(
+        "skylarkhoist_http_connections_closed_total",
+        "Connections closed because of a limit",
+        {{"listener", settings_.name},
+         {"cause", CauseName(static_cast<closure_cause>(i))}}));
+  evhttp_set_max_headers_size(
+      evhttp_, static_cast<ev_ssize_t>(std::min(
+                   kEvhttpMaxHeaderBytes, 2 * settings_.max_header_bytes)));
   evhttp_set_max_body_size(evhttp_,
                            static_cast<ev_ssize_t>(settings_.max_body_bytes));
   evhttp_set_allowed_methods(evhttp_, kAllMethods);
@@ -178,28 +292,25 @@
       this);
   evhttp_set_bevcb(
       evhttp_,
-      [](event_base* base, void* self) {
-        bufferevent* stream = bufferevent_socket_new(base, -1, 0);
-        bufferevent_set_max_single_read(stream, kMaxBytesPerSocketCall);
-        bufferevent_set_max_single_write(stream, kMaxBytesPerSocketCall);
-        evbuffer_add_cb(
-            bufferevent_get_output(stream),
-            [](evbuffer* output, const evbuffer_cb_info* change, void* owner) {
-              auto* server = static_cast<http_server*>(owner);
-              if (change->n_added > 0 && !server->writing_response_)
-                server->ReplaceErrorPage(output, change->n_added);
-            },
-            self);
-        return stream;
+      [](event_base*, void* self) {
+        return static_cast<http_server*>(self)->CreateStream();
       },
       this);
 }
 
 http_server::~http_server() {
   loop_->Cancel(resume_accept_timer_);
+  loop_->Cancel(budget_timer_);
+  loop_->Cancel(closure_timer_);
+  for (auto& [id, each] : clients_) {
+    loop_->Cancel(each->attach_timer);
+    if (each->connection == nullptr)
+      bufferevent_decref(each->stream);
+    else
+      evhttp_connection_set_closecb(each->connection, nullptr, nullptr);
+  }
   for (auto& [connection, request] : open_exchanges_) {
     request->StopWatching();
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
     if (const auto exchange = request->exchange.lock())
       exchange->request_ = nullptr;
   }
@@ -226,6 +337,7 @@
       evhttp_bound_socket_get_listener(listening_socket_),
       [](evconnlistener* failed, void*) { evconnlistener_disable(failed); });
   ResumeAccepting();
+  CloseExcessConnections();
   // Accepted sockets inherit the option from the listening socket.
   DisableNagle(evhttp_bound_socket_get_fd(listening_socket_));
   bound_address_ =
@@ -249,6 +361,180 @@
                              std::exchange(listening_socket_, nullptr));
 }
 
+bufferevent* http_server::CreateStream() {
+  bufferevent* stream = bufferevent_socket_new(loop_->base(), -1, 0);
+  auto added = std::make_unique<client>();
+  added->id = ++last_client_id_;
+  added->server = this;
+  added->stream = stream;
+  budget_.Add(added->id, loop_->Now());
+  bufferevent_set_max_single_read(stream, budget_.ReadLimit(true));
+  bufferevent_set_max_single_write(stream, kMaxBytesPerSocketCall);
+  evbuffer_add_cb(
+      bufferevent_get_output(stream),
+      [](evbuffer* output, const evbuffer_cb_info* change, void* owner) {
+        auto* server = static_cast<http_server*>(owner);
+        if (change->n_added > 0 && !server->writing_response_)
+          server->ReplaceErrorPage(output, change->n_added);
+      },
+      this);
+  added->input_callback = evbuffer_add_cb(
+      bufferevent_get_input(stream),
+      [](evbuffer*, const evbuffer_cb_info* change, void* owner) {
+        auto* sender = static_cast<client*>(owner);
+        if (change->n_added > 0)
+          sender->server->OnBytesReceived(sender, change->n_added);
+        if (change->n_deleted > 0 && !sender->in_head) {
+          sender->chunk_memory += change->n_deleted;
+          sender->moved_data = true;
+        }
+      },
+      added.get());
+  // evhttp creates its connection after this call. Until it is known, the
+  // stream must not be freed, or Attach could not tell that it was closed.
+  bufferevent_incref(stream);
+  client* attached = added.get();
+  added->attach_timer =
+      loop_->RunAfter(duration::zero(), [this, attached] { Attach(attached); });
+  clients_.emplace(added->id, std::move(added));
+  if (budget_.IsExceeded())
+    ScheduleClosures();
+  return stream;
+}
+
+void http_server::Attach(client* added) {
+  loop_->Cancel(added->attach_timer);
+  bufferevent* stream = added->stream;
+  // evhttp passes its connection to its callbacks, and removes them when it
+  // frees the connection.
+  void* connection = nullptr;
+  bufferevent_getcb(stream, nullptr, nullptr, nullptr, &connection);
+  if (connection == nullptr) {
+    budget_.Remove(added->id);
+    clients_.erase(added->id);
+  } else {
+    added->connection = static_cast<evhttp_connection*>(connection);
+    clients_by_connection_[added->connection] = added;
+    evhttp_connection_set_closecb(
+        added->connection,
+        [](evhttp_connection* closed, void* self) {
+          static_cast<http_server*>(self)->OnConnectionClosed(closed);
+        },
+        this);
+  }
+  bufferevent_decref(stream);
+}
+
+void http_server::OnBytesReceived(client* sender, size_t added) {
+  if (sender->connection == nullptr)
+    Attach(sender);
+  evbuffer* input = bufferevent_get_input(sender->stream);
+  const size_t held = evbuffer_get_length(input);
+  const bool was_in_head = sender->in_head;
+  if (was_in_head) {
+    evbuffer_ptr position;
+    evbuffer_ptr_set(input, &position, held - added, EVBUFFER_PTR_SET);
+    const auto left = static_cast<ev_ssize_t>(added);
+    std::vector<evbuffer_iovec> parts(
+        static_cast<size_t>(evbuffer_peek(input, left, &position, nullptr, 0)));
+    evbuffer_peek(input, left, &position, parts.data(),
+                  static_cast<int>(parts.size()));
+    for (const evbuffer_iovec& part : parts) {
+      if (sender->in_head)
+        sender->ScanHead(
+            {static_cast<const char*>(part.iov_base), part.iov_len});
+    }
+  }
+  if (std::exchange(sender->moved_data, false))
+    sender->chunk_memory += kMinChunkMemory;
+  const size_t memory = sender->HeadMemory() + sender->chunk_memory + held +
+                        held / kUnusedBufferShare + kUnusedBufferMemory;
+  budget_.OnReceived(sender->id, added, memory, loop_->Now());
+  if (was_in_head && !sender->in_head)
+    budget_.OnHeadComplete(sender->id, loop_->Now());
+  bufferevent_set_max_single_read(sender->stream,
+                                  budget_.ReadLimit(sender->in_head));
+  if (budget_.IsExceeded())
+    ScheduleClosures();
+}
+
+bool http_server::TryStart(evhttp_connection* connection,
+                           evhttp_request* request) {
+  const client& sender = *clients_by_connection_.at(connection);
+  const size_t body_size =
+      evbuffer_get_length(evhttp_request_get_input_buffer(request));
+  // evhttp keeps the fields, and the node has a copy of them.
+  const size_t memory =
+      kMemoryPerRequest + kBodyCopies * body_size + 2 * sender.HeadMemory();
+  return budget_.TryStart(sender.id, memory);
+}
+
+// The data of the next request may have been received already.
+void http_server::OnRequestEnded(evhttp_connection* connection) {
+  const auto found = clients_by_connection_.find(connection);
+  if (found == clients_by_connection_.end())
+    return;
+  client* sender = found->second;
+  budget_.OnRequestEnded(sender->id, loop_->Now());
+  sender->StartHead();
+  bufferevent_set_max_single_read(sender->stream, budget_.ReadLimit(true));
+  const size_t waiting =
+      evbuffer_get_length(bufferevent_get_input(sender->stream));
+  if (waiting > 0)
+    OnBytesReceived(sender, waiting);
+}
+
+// Connections are not closed in callbacks of evhttp, which still uses them.
+void http_server::ScheduleClosures() {
+  if (closure_timer_ != 0)
+    return;
+  closure_timer_ =
+      loop_->RunAfter(duration::zero(), [this] { CloseExcessConnections(); });
+}
+
+void http_server::CloseExcessConnections() {
+  loop_->Cancel(std::exchange(closure_timer_, 0));
+  loop_->Cancel(budget_timer_);
+  budget_timer_ = loop_->RunAfter(kBudgetCheckInterval,
+                                  [this] { CloseExcessConnections(); });
+  for (const auto& each : budget_.TakeClosures(loop_->Now())) {
+    closures_[static_cast<size_t>(each.cause)]->Increment();
+    if (each.cause == closure_cause::kMemory ||
+        each.cause == closure_cause::kConnections)
+      OnShortage(CauseName(each.cause));
+    client* excess = clients_.at(each.id).get();
+    if (excess->connection == nullptr)
+      Attach(excess);
+    const auto found = clients_.find(each.id);
+    // Calls OnConnectionClosed.
+    if (found != clients_.end())
+      evhttp_connection_free(found->second->connection);
+  }
+  if (is_short_ && loop_->Now() - last_shortage_at_ >= kShortageEnd) {
+    is_short_ = false;
+    LogStateChange("http_server", "shortage_ended",
+                   {{"listener", settings_.name}});
+  }
+  UpdateGauges();
+}
+
+void http_server::OnShortage(const char* cause) {
+  last_shortage_at_ = loop_->Now();
+  if (is_short_)
+    return;
+  is_short_ = true;
+  LogWarning("http_server", "shortage",
+             {{"listener", settings_.name},
+              {"cause", cause},
+              {"held_bytes", std::to_string(budget_.held_bytes())},
+              {"connections", std::to_string(budget_.connections())}});
+}
+
+void http_server::UpdateGauges() {
+  held_bytes_.Set(static_cast<double>(budget_.held_bytes()));
+  open_connections_.Set(static_cast<double>(budget_.connections()));
+}
+
 const char* http_server::RefusalReason(evhttp_request* request) const {
   const evkeyvalq* fields = evhttp_request_get_input_headers(request);
   int content_length_count = 0;
@@ -303,15 +589,27 @@
     RefuseRequest(request, 400, reason);
     return;
   }
+  if (!TryStart(connection, request)) {
+    memory_short_.Increment();
+    OnShortage("memory_short");
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Retry-After",
+                      kRetryAfterSeconds);
+    RefuseRequest(request, 503, "memory_short");
+    return;
+  }
   http_request received_request;
   received_request.method = MethodName(evhttp_request_get_command(request));
   received_request.path = PathAndQuery(evhttp_request_get_uri(request));
   received_request.headers =
       ReadEndToEndFields(evhttp_request_get_input_headers(request));
   evbuffer* body = evhttp_request_get_input_buffer(request);
-  received_request.body.resize(evbuffer_get_length(body));
-  evbuffer_remove(body, received_request.body.data(),
-                  received_request.body.size());
+  received_request.body.reserve(evbuffer_get_length(body));
+  while (evbuffer_get_length(body) > 0) {
+    const size_t part = std::min(kBodyPartBytes, evbuffer_get_length(body));
+    const size_t moved = received_request.body.size();
+    received_request.body.resize(moved + part);
+    evbuffer_remove(body, received_request.body.data() + moved, part);
+  }
 
   const std::shared_ptr<http_exchange> exchange(new http_exchange);
   exchange->server_ = this;
@@ -330,21 +628,17 @@
       },
       open.get());
   event_add(open->read_event, nullptr);
-  evhttp_connection_set_closecb(
-      connection,
-      [](evhttp_connection* closed, void* self) {
-        static_cast<http_server*>(self)->OnConnectionClosed(closed);
-      },
-      this);
   evhttp_request_set_on_complete_cb(
       request,
       [](evhttp_request* written, void* self) {
         auto* server = static_cast<http_server*>(self);
-        server->open_exchanges_.erase(evhttp_request_get_connection(written));
+        evhttp_connection* answered = evhttp_request_get_connection(written);
+        server->open_exchanges_.erase(answered);
+        server->OnRequestEnded(answered);
       },
       this);
   requests_.Increment();
-  handler_(received_request, exchange);
+  handler_(std::move(received_request), exchange);
 }
 
 void http_server::OnReadable(evhttp_connection* connection) {
@@ -365,6 +659,16 @@
 }
 
 void http_server::OnConnectionClosed(evhttp_connection* connection) {
+  const auto client_found = clients_by_connection_.find(connection);
+  if (client_found != clients_by_connection_.end()) {
+    const connection_budget::connection_id id = client_found->second->id;
+    evbuffer_remove_cb_entry(
+        bufferevent_get_input(client_found->second->stream),
+        client_found->second->input_callback);
+    clients_by_connection_.erase(client_found);
+    clients_.erase(id);
+    budget_.Remove(id);
+  }
   const auto found = open_exchanges_.find(connection);
   if (found == open_exchanges_.end())
     return;
@@ -384,6 +688,8 @@
 void http_server::RefuseRequest(evhttp_request* request,
                                 int status,
                                 const char* reason) {
+  evbuffer* refused_body = evhttp_request_get_input_buffer(request);
+  evbuffer_drain(refused_body, evbuffer_get_length(refused_body));
   evkeyvalq* fields = evhttp_request_get_output_headers(request);
   evhttp_add_header(fields, "Connection", "close");
   evhttp_add_header(fields, "Content-Type", "application/json");
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -9,11 +9,13 @@
 #include <tl/expected.hpp>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "kernel/event_loop.h"
 #include "kernel/findings.h"
 #include "kernel/http.h"
 #include "kernel/metrics.h"
+#include "wire/connection_budget.h"
 
 struct bufferevent;
 struct evbuffer;
@@ -38,6 +40,8 @@
   // A connection without a complete request is closed after receiving nothing
   // for this time. The time until the response is not limited.
   duration idle_timeout = std::chrono::seconds(60);
+  // Limits over all connections of this server.
+  connection_budget_settings budget;
 };
 
 // Lets the handler respond to one request.
@@ -75,7 +79,7 @@
 };
 
 using http_handler =
-    std::function<void(const http_request&, std::shared_ptr<http_exchange>)>;
+    std::function<void(http_request&&, std::shared_ptr<http_exchange>)>;
 
 // HTTP/1.1 server on evhttp.
 //
@@ -84,6 +88,10 @@
 // The handler sees no hop-by-hop fields such as Transfer-Encoding. If it
 // releases the last reference to an exchange without a response, the caller
 // gets 500.
+//
+// When the connections together exceed a limit of `budget`, those that make no
+// progress are closed without a response, and large requests get 503 with
+// Retry-After before the handler sees them.
 class http_server {
  public:
   http_server(event_loop* loop,
@@ -114,8 +122,20 @@
  private:
   friend class http_exchange;
   struct open_exchange;
+  struct client;
 
   void ResumeAccepting();
+  bufferevent* CreateStream();
+  // Learns which evhttp connection uses the stream of `added`.
+  void Attach(client* added);
+  void OnBytesReceived(client* sender, size_t added);
+  // Starts the handler's work for a complete request, if the memory allows.
+  bool TryStart(evhttp_connection* connection, evhttp_request* request);
+  void OnRequestEnded(evhttp_connection* connection);
+  void ScheduleClosures();
+  void CloseExcessConnections();
+  void OnShortage(const char* cause);
+  void UpdateGauges();
   void HandleRequest(evhttp_request* request);
   // Returns null if the request is valid.
   const char* RefusalReason(evhttp_request* request) const;
@@ -144,6 +164,16 @@
   std::unordered_map<evhttp_connection*, std::unique_ptr<open_exchange>>
       open_exchanges_;
   uint64_t last_exchange_id_ = 0;
+  connection_budget budget_;
+  std::unordered_map<connection_budget::connection_id, std::unique_ptr<client>>
+      clients_;
+  std::unordered_map<evhttp_connection*, client*> clients_by_connection_;
+  connection_budget::connection_id last_client_id_ = 0;
+  timer_id budget_timer_ = 0;
+  timer_id closure_timer_ = 0;
+  // Whether a limit of the budget was exceeded lately, and when it last was.
+  bool is_short_ = false;
+  time_point last_shortage_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
   prometheus::Counter& requests_;
@@ -152,6 +182,10 @@
   prometheus::Counter& headers_too_large_;
   prometheus::Counter& body_too_large_;
   prometheus::Counter& bad_request_;
+  prometheus::Counter& memory_short_;
+  std::vector<prometheus::Counter*> closures_;
+  prometheus::Gauge& held_bytes_;
+  prometheus::Gauge& open_connections_;
 };
 
 }  // namespace skylarkhoist
