Hold the body of a request at most twice

Cause: a request of 64 MB was held five times on its way from the request listener to the local target: by the entry, by the message of the call, by the copy in the loopback, by the executor, and by the buffer of the connection to the target. One such request took 336,788 KB. Change: the loopback and the executor take the message over, and the body is moved to the connection to the target. The entry keeps its body for further attempts. A request in progress counts as two bodies in the budget.

--- a/node/entry.cc
+++ b/node/entry.cc
@@ -594,7 +594,7 @@
   ++open_calls_by_target_[{current_attempt.address, current_attempt.service}];
   call->last_target_node = current_attempt.address;
   call->current_attempt = std::move(current_attempt);
-  transport_->Send(target.node_address, MakeEnvelope(std::move(message)));
+  transport_->SendOwned(target.node_address, MakeEnvelope(std::move(message)));
 }
 
 void entry::EndAttempt(open_call* call) {
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -410,12 +410,11 @@
   return best;
 }
 
-void executor::HandleCall(const peer_info& from,
-                          const fbs::call_requestT& call) {
+void executor::HandleCall(const peer_info& from, fbs::call_requestT received) {
   const time_point now = loop_->Now();
-  const request_id id = skylarkhoist::FromWire(call.id);
-  if (call.target != nullptr)
-    HandleTargetReport(*call.target);
+  const request_id id = skylarkhoist::FromWire(received.id);
+  if (received.target != nullptr)
+    HandleTargetReport(*received.target);
   switch (answers_.RecordArrival(id, now)) {
     case call_arrival::kNew:
       break;
@@ -435,10 +434,12 @@
   open_execution execution;
   execution.id = id;
   execution.origin = from;
-  execution.call = call;
+  execution.call = std::move(received);
   execution.arrived_at = now;
-  execution.deadline = now + std::chrono::milliseconds(call.deadline_left_ms);
-  executions_.emplace(id, std::move(execution));
+  execution.deadline =
+      now + std::chrono::milliseconds(execution.call.deadline_left_ms);
+  const fbs::call_requestT& call =
+      executions_.emplace(id, std::move(execution)).first->second.call;
   if (call.body_checksum != BodyChecksum(call.body)) {
     damaged_calls_.Increment();
     FinishRefused(id, reason::kAnswerDamaged, true);
@@ -574,8 +575,6 @@
   if (!execution->caller_id.empty())
     runs_by_caller_id_[execution->caller_id] = id;
   options_.dialect->AddTargetHeaders(metadata, &request.headers);
-  request.body.assign(execution->call.body.begin(), execution->call.body.end());
-
   execution->running = true;
   execution->started_at = now;
   execution->run = RunOf(target->announcement);
@@ -585,8 +584,10 @@
       std::chrono::duration<double>(now - execution->arrived_at).count());
   answers_.MarkRunning(id);
   sent_to_target_.Increment();
-  execution->target_call = target_client_->Call(
-      target->announcement.address, request, execution->deadline - now,
+  // Nothing uses the body once the request is sent.
+  execution->target_call = target_client_->CallWithBody(
+      target->announcement.address, std::move(request),
+      std::move(execution->call.body), execution->deadline - now,
       [this, id](const target_result& result) { OnTargetResult(id, result); });
 }
 
--- a/node/executor.h
+++ b/node/executor.h
@@ -119,7 +119,7 @@
   // Returns the targets of this node for gossip.
   std::vector<fbs::target_entryT> DescribeTargets() const;
 
-  void HandleCall(const peer_info& from, const fbs::call_requestT& call);
+  void HandleCall(const peer_info& from, fbs::call_requestT received);
   void HandleCancel(const fbs::call_cancelT& cancel);
   void HandleQuery(const peer_info& from, const fbs::call_queryT& query);
   void HandleSuspect(const fbs::suspectT& suspect);
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -269,6 +269,14 @@
   tokens_.SetMembers(members);
 }
 
+void hosted_node::OnOwnedPeerMessage(const peer_info& from,
+                                     fbs::envelopeT message) {
+  if (fbs::call_requestT* call = message.body.Ascall_request())
+    executor_.HandleCall(from, std::move(*call));
+  else
+    OnPeerMessage(from, message);
+}
+
 void hosted_node::OnPeerMessage(const peer_info& from,
                                 const fbs::envelopeT& message) {
   if (DispatchCallMessage(from, message, &entry_, &executor_))
--- a/node/loopback_transport.h
+++ b/node/loopback_transport.h
@@ -30,12 +30,21 @@
       underlying_->Send(address, message);
       return;
     }
-    loop_->RunAfter(duration::zero(),
-                    [this, alive = std::weak_ptr<bool>(alive_),
-                     copy = std::make_shared<fbs::envelopeT>(message)] {
-                      if (!alive.expired())
-                        observer_->OnPeerMessage(self_, *copy);
-                    });
+    SendOwned(address, message);
+  }
+
+  void SendOwned(const std::string& address, fbs::envelopeT message) override {
+    if (address != self_.address) {
+      underlying_->SendOwned(address, std::move(message));
+      return;
+    }
+    loop_->RunAfter(
+        duration::zero(),
+        [this, alive = std::weak_ptr<bool>(alive_),
+         own = std::make_shared<fbs::envelopeT>(std::move(message))] {
+          if (!alive.expired())
+            observer_->OnOwnedPeerMessage(self_, std::move(*own));
+        });
   }
 
  private:
--- a/wire/http_server.cc
+++ b/wire/http_server.cc
@@ -42,9 +42,9 @@
 constexpr char kRetryAfterSeconds[] = "1";
 
 // What a request in progress occupies, in multiples of its body: the entry
-// keeps it for further attempts, the executor holds the received call, and the
-// request is in the buffer of the connection to the target.
-constexpr size_t kBodyCopies = 3;
+// keeps it for further attempts, and the executor or the connection to the
+// target holds it until it is sent.
+constexpr size_t kBodyCopies = 2;
 
 // Unused part of the buffers that received data is in, besides a share of the
 // data. Of a large buffer only the part in use is resident.
--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -58,6 +58,7 @@
 }
 
 std::string BuildRequestHead(const http_request& request,
+                             size_t body_size,
                              const std::string& address) {
   std::string head;
   head.reserve(512);
@@ -74,7 +75,7 @@
   }
   if (MayHaveBody(request.method)) {
     head.append("Content-Length: ")
-        .append(std::to_string(request.body.size()))
+        .append(std::to_string(body_size))
         .append("\r\n");
   }
   head.append("\r\n");
@@ -161,16 +162,30 @@
     return true;
   }
 
-  void Send(target_call_id id, const http_request& request) {
+  void Send(target_call_id id,
+            const http_request& request,
+            std::vector<uint8_t> owned_body) {
     call_id_ = id;
     ++sent_requests_;
     foreign_responses_ = 0;
     is_head_request_ = request.method == "HEAD";
     ResetResponse();
-    const std::string head = BuildRequestHead(request, address_);
+    const size_t body_size =
+        owned_body.empty() ? request.body.size() : owned_body.size();
+    const std::string head = BuildRequestHead(request, body_size, address_);
     evbuffer* output = bufferevent_get_output(stream_);
     evbuffer_add(output, head.data(), head.size());
-    evbuffer_add(output, request.body.data(), request.body.size());
+    if (owned_body.empty()) {
+      evbuffer_add(output, request.body.data(), body_size);
+      return;
+    }
+    auto* kept = new std::vector<uint8_t>(std::move(owned_body));
+    evbuffer_add_reference(
+        output, kept->data(), kept->size(),
+        [](const void*, size_t, void* body) {
+          delete static_cast<std::vector<uint8_t>*>(body);
+        },
+        kept);
   }
 
   // Whether the idle connection is open and has no unread data, which would be
@@ -494,6 +509,22 @@
                                         const http_request& request,
                                         duration timeout,
                                         callback done) {
+  return StartCall(address, request, {}, timeout, std::move(done));
+}
+
+target_call_id http_target_client::CallWithBody(const std::string& address,
+                                                http_request request,
+                                                std::vector<uint8_t> body,
+                                                duration timeout,
+                                                callback done) {
+  return StartCall(address, request, std::move(body), timeout, std::move(done));
+}
+
+target_call_id http_target_client::StartCall(const std::string& address,
+                                             const http_request& request,
+                                             std::vector<uint8_t> owned_body,
+                                             duration timeout,
+                                             callback done) {
   const target_call_id id = next_id_++;
   call& started = *calls_.emplace(id, std::make_unique<call>()).first->second;
   started.id = id;
@@ -503,7 +534,8 @@
       started.expected_echo = *echo;
   }
   if (!IsSupportedMethod(request.method) || !IsValidPath(request.path) ||
-      (!request.body.empty() && !MayHaveBody(request.method))) {
+      ((!request.body.empty() || !owned_body.empty()) &&
+       !MayHaveBody(request.method))) {
     FinishAsync(id, MakeFailure(target_error::kMalformed, false));
     return id;
   }
@@ -536,7 +568,7 @@
     calls_.at(id)->timeout_timer = 0;
     OnFailure(id, target_error::kTimeout);
   });
-  started.conn->Send(id, request);
+  started.conn->Send(id, request, std::move(owned_body));
   return id;
 }
 
--- a/wire/http_target_client.h
+++ b/wire/http_target_client.h
@@ -58,6 +58,11 @@
                       const http_request& request,
                       duration timeout,
                       callback done) override;
+  target_call_id CallWithBody(const std::string& address,
+                              http_request request,
+                              std::vector<uint8_t> body,
+                              duration timeout,
+                              callback done) override;
   void Cancel(target_call_id id) override;
 
   // Number of connections in the pools.
@@ -67,6 +72,13 @@
   struct call;
   class connection;
 
+  // Starts a call whose body is in `request` or, unless it is empty, in
+  // `owned_body`.
+  target_call_id StartCall(const std::string& address,
+                           const http_request& request,
+                           std::vector<uint8_t> owned_body,
+                           duration timeout,
+                           callback done);
   std::unique_ptr<connection> TakeFromPool(const std::string& address);
   void ReturnToPool(std::unique_ptr<connection> returned);
   void OnResponse(target_call_id id);
--- a/wire/peer_transport.h
+++ b/wire/peer_transport.h
@@ -47,6 +47,12 @@
   virtual ~peer_observer() = default;
   virtual void OnPeerMessage(const peer_info& from,
                              const fbs::envelopeT& message) = 0;
+  // Like OnPeerMessage, for a message that nothing else uses. Large bodies can
+  // be moved out of it.
+  virtual void OnOwnedPeerMessage(const peer_info& from,
+                                  fbs::envelopeT message) {
+    OnPeerMessage(from, message);
+  }
   virtual void OnLinkUp(const peer_info& peer) = 0;
   // `peer.incarnation` is 0 when the link was never up.
   virtual void OnLinkDown(const peer_info& peer, link_down_cause cause) = 0;
@@ -71,6 +77,10 @@
   // fails; OnLinkDown is called then.
   virtual void Send(const std::string& address,
                     const fbs::envelopeT& message) = 0;
+  // Like Send, but need not copy the message.
+  virtual void SendOwned(const std::string& address, fbs::envelopeT message) {
+    Send(address, message);
+  }
 };
 
 // Wraps a message table in an envelope:
--- a/wire/target_client.h
+++ b/wire/target_client.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "kernel/http.h"
 #include "kernel/time.h"
@@ -48,6 +50,16 @@
                               duration timeout,
                               callback done) = 0;
 
+  // Like Call, for a request without its body, which is not copied.
+  virtual target_call_id CallWithBody(const std::string& address,
+                                      http_request request,
+                                      std::vector<uint8_t> body,
+                                      duration timeout,
+                                      callback done) {
+    request.body.assign(body.begin(), body.end());
+    return Call(address, request, timeout, std::move(done));
+  }
+
   // Closes the connection of a call, whose callback then does not run.
   virtual void Cancel(target_call_id id) = 0;
 };
