--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -270,7 +270,7 @@
 }
 
 void hosted_node::OnOwnedPeerMessage(const peer_info& from,
-                                     fbs::envelopeT message) {
+                                     fbs::envelopeT&& message) {
   if (fbs::call_requestT* call = message.body.Ascall_request())
     executor_.HandleCall(from, std::move(*call));
   else
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -127,7 +127,7 @@
   void OnPeerMessage(const peer_info& from,
                      const fbs::envelopeT& message) override;
   void OnOwnedPeerMessage(const peer_info& from,
-                          fbs::envelopeT message) override;
+                          fbs::envelopeT&& message) override;
   void OnLinkUp(const peer_info& peer) override;
   void OnLinkDown(const peer_info& peer, link_down_cause cause) override;
   fbs::heartbeatT MakeHeartbeat() override;
--- a/node/loopback_transport.h
+++ b/node/loopback_transport.h
@@ -30,10 +30,11 @@
       underlying_->Send(address, message);
       return;
     }
-    SendOwned(address, message);
+    SendOwned(address, fbs::envelopeT(message));
   }
 
-  void SendOwned(const std::string& address, fbs::envelopeT message) override {
+  void SendOwned(const std::string& address,
+                 fbs::envelopeT&& message) override {
     if (address != self_.address) {
       underlying_->SendOwned(address, std::move(message));
       return;
--- a/testing/client_crowd_test.cc
+++ b/testing/client_crowd_test.cc
@@ -187,7 +187,7 @@
   }
 
   // Calls `request` until it gets 200, at most 40 times.
-  bool IsServedAt(const std::string& address, http_request request) {
+  bool IsServedAt(const std::string& address, const http_request& request) {
     for (int attempt = 0; attempt < 40; ++attempt) {
       bool ended = false;
       int status = 0;
--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -513,8 +513,8 @@
 }
 
 target_call_id http_target_client::CallWithBody(const std::string& address,
-                                                http_request request,
-                                                std::vector<uint8_t> body,
+                                                http_request&& request,
+                                                std::vector<uint8_t>&& body,
                                                 duration timeout,
                                                 callback done) {
   return StartCall(address, request, std::move(body), timeout, std::move(done));
--- a/wire/http_target_client.h
+++ b/wire/http_target_client.h
@@ -59,8 +59,8 @@
                       duration timeout,
                       callback done) override;
   target_call_id CallWithBody(const std::string& address,
-                              http_request request,
-                              std::vector<uint8_t> body,
+                              http_request&& request,
+                              std::vector<uint8_t>&& body,
                               duration timeout,
                               callback done) override;
   void Cancel(target_call_id id) override;
--- a/wire/peer_transport.h
+++ b/wire/peer_transport.h
@@ -50,7 +50,7 @@
   // Like OnPeerMessage, for a message that nothing else uses. Large bodies can
   // be moved out of it.
   virtual void OnOwnedPeerMessage(const peer_info& from,
-                                  fbs::envelopeT message) {
+                                  fbs::envelopeT&& message) {
     OnPeerMessage(from, message);
   }
   virtual void OnLinkUp(const peer_info& peer) = 0;
@@ -78,7 +78,7 @@
   virtual void Send(const std::string& address,
                     const fbs::envelopeT& message) = 0;
   // Like Send, but need not copy the message.
-  virtual void SendOwned(const std::string& address, fbs::envelopeT message) {
+  virtual void SendOwned(const std::string& address, fbs::envelopeT&& message) {
     Send(address, message);
   }
 };
--- a/wire/target_client.h
+++ b/wire/target_client.h
@@ -52,8 +52,8 @@
 
   // Like Call, for a request without its body, which is not copied.
   virtual target_call_id CallWithBody(const std::string& address,
-                                      http_request request,
-                                      std::vector<uint8_t> body,
+                                      http_request&& request,
+                                      std::vector<uint8_t>&& body,
                                       duration timeout,
                                       callback done) {
     request.body.assign(body.begin(), body.end());
