--- a/decisions/node_view_table_test.cc
+++ b/decisions/node_view_table_test.cc
@@ -19,7 +19,7 @@
     node.incarnation = 1;
     node.version = 1;
     node.status = node_status::kLive;
-    node.targets = {{"front", name + ":80", true, 0, 20}};
+    node.targets = {{"front", name + ":80", true, 0, 20, 0, 0, ""}};
     return node;
   }
 };
