Move the connection budget to the kernel folder

The build of review/ names the sources that it needs and takes all of kernel/; http_server could not be linked there without the budget, which does no I/O and uses only the kernel.

--- a/wire/connection_budget.h
+++ b/kernel/connection_budget.h
@@ -1,5 +1,5 @@
-#ifndef WIRE_CONNECTION_BUDGET_H_
-#define WIRE_CONNECTION_BUDGET_H_
+#ifndef KERNEL_CONNECTION_BUDGET_H_
+#define KERNEL_CONNECTION_BUDGET_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -125,4 +125,4 @@
 
 }  // namespace skylarkhoist
 
-#endif  // WIRE_CONNECTION_BUDGET_H_
+#endif  // KERNEL_CONNECTION_BUDGET_H_
--- a/wire/connection_budget_test.cc
+++ b/kernel/connection_budget_test.cc
@@ -1,4 +1,4 @@
-#include "wire/connection_budget.h"
+#include "kernel/connection_budget.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/wire/http_server.h
+++ b/wire/http_server.h
@@ -11,11 +11,11 @@
 #include <utility>
 #include <vector>
 
+#include "kernel/connection_budget.h"
 #include "kernel/event_loop.h"
 #include "kernel/findings.h"
 #include "kernel/http.h"
 #include "kernel/metrics.h"
-#include "wire/connection_budget.h"
 
 struct bufferevent;
 struct evbuffer;
