--- a/review/second_cases_test.cc
+++ b/review/second_cases_test.cc
@@ -226,8 +226,31 @@
     return result;
   }
 
-  size_t buffered() const { return buffer_.size(); }
-  void Discard() { buffer_.clear(); }
+  // Reads and drops the body of a message whose head was read, at most
+  // `bytes_per_second` of it, or at once if that is 0. Returns how much of it
+  // was received before the connection ended.
+  size_t DropBody(size_t size, double bytes_per_second) {
+    const auto began_at = steady::now();
+    size_t received = std::min(size, buffer_.size());
+    buffer_.erase(0, received);
+    while (received < size) {
+      const size_t count = Read(std::min(size_t{32} << 10U, size - received),
+                                milliseconds(2000));
+      if (count == 0)
+        break;
+      buffer_.clear();
+      received += count;
+      if (bytes_per_second <= 0)
+        continue;
+      const std::chrono::duration<double> ahead =
+          std::chrono::duration<double>(static_cast<double>(received) /
+                                        bytes_per_second) -
+          (steady::now() - began_at);
+      if (ahead.count() > 0)
+        std::this_thread::sleep_for(ahead);
+    }
+    return received;
+  }
 
  private:
   int fd_;
@@ -260,10 +283,14 @@
 // Accepts connections and serves each on a thread of its own.
 void Listen(const std::string& host,
             int port,
-            std::function<void(stream*)> serve) {
+            std::function<void(stream*)> serve,
+            int receive_buffer = 0) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (receive_buffer > 0)
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+               sizeof(receive_buffer));
   const sockaddr_in address = SocketAddress(host, port);
   if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
           0 ||
@@ -545,7 +572,9 @@
                  const std::string& method,
                  const std::string& path,
                  milliseconds time_budget,
-                 double bytes_per_second = 0) {
+                 double bytes_per_second = 0,
+                 const std::string& service = "",
+                 const std::string& body = "order") {
     const std::string id =
         "c" + std::to_string(getpid()) + "x" + std::to_string(next_request_++);
     const auto began = steady::now();
@@ -557,33 +586,17 @@
         at.host, kOutboundPort, bytes_per_second > 0 ? 64 << 10 : 0);
     if (connection == nullptr)
       return result;
-    connection->Write(
-        MakeRequest(method, path,
-                    {{"Host", at.service + ".example"},
-                     {"X-Request-Id", id},
-                     {"X-Deadline-Ms", std::to_string(time_budget.count())},
-                     {"Authorization", std::string("Bearer ") + kKey}},
-                    method == "GET" ? "" : "order"));
+    connection->Write(MakeRequest(
+        method, path,
+        {{"Host", (service.empty() ? at.service : service) + ".example"},
+         {"X-Request-Id", id},
+         {"X-Deadline-Ms", std::to_string(time_budget.count())},
+         {"Authorization", std::string("Bearer ") + kKey}},
+        method == "GET" ? "" : body));
     if (auto head = connection->ReadHead(time_budget + milliseconds(1000))) {
       result.expected =
           std::strtoull(head->Get("content-length").c_str(), nullptr, 10);
-      result.received = connection->buffered();
-      connection->Discard();
-      while (result.received < result.expected) {
-        const size_t count =
-            connection->Read(size_t{32} << 10U, milliseconds(2000));
-        if (count == 0)
-          break;
-        connection->Discard();
-        result.received += count;
-        if (bytes_per_second > 0) {
-          const double ahead =
-              static_cast<double>(result.received) / bytes_per_second -
-              elapsed();
-          if (ahead > 0)
-            Sleep(milliseconds(static_cast<int>(ahead * 1000)));
-        }
-      }
+      result.received = connection->DropBody(result.expected, bytes_per_second);
       if (result.received >= result.expected)
         result.status = head->status;
     }
@@ -606,6 +619,10 @@
   }
 
   void SetRecordRequests(bool record) { record_requests_ = record; }
+  // Workers read bodies at most at this rate.
+  void SetWorkerReadRate(double bytes_per_second) {
+    worker_read_rate_ = bytes_per_second;
+  }
   // Kills processes that exceed the memory of their machine, as the platform
   // does.
   void SetMemoryLimit(bool limited) { limits_memory_ = limited; }
@@ -646,27 +663,32 @@
   }
 
   void StartWorker(machine* of) {
-    Listen(of->host, kWorkerPort, [this, of](stream* connection) {
-      while (const auto request =
-                 connection->ReadMessage(std::chrono::minutes(10))) {
-        if (!request->complete)
-          return;
-        const std::string id = request->Get("x-request-id");
-        if (request->Get("x-target-instance") != of->worker_id) {
-          Respond(connection, 421, {{"X-Instance-Id", of->worker_id}}, "");
-          continue;
-        }
-        {
-          const std::lock_guard<std::mutex> lock(mutex_);
-          ++runs_[id];
-        }
-        if (!Respond(connection, 200,
-                     {{"X-Request-Id", id},
-                      {"X-Response-Signature", "3e1b.07." + id}},
-                     answer_))
-          return;
-      }
-    });
+    Listen(
+        of->host, kWorkerPort,
+        [this, of](stream* connection) {
+          while (const auto request =
+                     connection->ReadHead(std::chrono::minutes(10))) {
+            const std::string id = request->Get("x-request-id");
+            if (request->Get("x-target-instance") != of->worker_id) {
+              Respond(connection, 421, {{"X-Instance-Id", of->worker_id}}, "");
+              return;
+            }
+            {
+              const std::lock_guard<std::mutex> lock(mutex_);
+              ++runs_[id];
+            }
+            const size_t body_size = std::strtoull(
+                request->Get("content-length").c_str(), nullptr, 10);
+            if (connection->DropBody(body_size, worker_read_rate_) < body_size)
+              return;
+            if (!Respond(connection, 200,
+                         {{"X-Request-Id", id},
+                          {"X-Response-Signature", "3e1b.07." + id}},
+                         answer_))
+              return;
+          }
+        },
+        worker_read_rate_ > 0 ? 64 << 10 : 0);
     std::thread([this, of] {
       for (;;) {
         SendReport(*of, of->worker_id,
@@ -772,6 +794,7 @@
   std::atomic<int> next_request_{1};
   std::atomic<bool> record_requests_{true};
   std::atomic<bool> limits_memory_{false};
+  double worker_read_rate_ = 0;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
 };
@@ -970,6 +993,63 @@
   return machines >= 2 ? kBroken : kHeld;
 }
 
+// Workers on two machines read the bodies of requests slowly. Clients on ten
+// other machines send large bodies of legal size. Without trouble the workers
+// read at once.
+int RunSlowWorkers(const case_run& run) {
+  constexpr size_t kBodyBytes = size_t{7} << 20U;
+  // A body is read in 5.8 s, and the time budget is 15 s. A worker gets 12
+  // bodies a second, at 88 MB/s together.
+  constexpr double kBytesPerSecond = static_cast<double>(kBodyBytes) / 5.8;
+  constexpr size_t kTargets = 2;
+  constexpr size_t kEntries = 10;
+  constexpr milliseconds kArrivalInterval(400);
+  constexpr milliseconds kSendingTime(60000);
+  static deployment fleet(600);
+  const stop_guard guard{&fleet};
+  if (run.trouble)
+    fleet.SetWorkerReadRate(kBytesPerSecond);
+  fleet.AddMachine("lagos-ikeja", "orderbook");
+  fleet.AddMachine("lagos-lekki", "pricebook");
+  for (size_t i = 0; i < kEntries; ++i)
+    fleet.AddMachine(i % 2 == 0 ? "lagos-ikeja" : "lagos-lekki", "stockdesk");
+  if (!fleet.Start(
+          run.program,
+          DesiredState({"orderbook", "pricebook", "stockdesk"}, 15000)))
+    return kCannotRun;
+  fleet.SetMemoryLimit(true);
+  static const std::string body(kBodyBytes, 'b');
+  const auto ends_of = [](size_t at) {
+    return fleet.At(at).memory_kills + fleet.At(at).own_ends;
+  };
+  const auto began_at = steady::now();
+  std::vector<std::thread> clients;
+  for (size_t turn = 0; steady::now() - began_at < kSendingTime &&
+                        (ends_of(0) < 3 || ends_of(1) < 3);
+       ++turn) {
+    for (size_t i = 0; i < kEntries; ++i) {
+      clients.emplace_back([i, turn] {
+        fleet.Request(fleet.At(kTargets + i), "POST", "/unsafe/2f",
+                      milliseconds(15000), 0,
+                      (i + turn) % 2 == 0 ? "orderbook" : "pricebook", body);
+      });
+      Sleep(kArrivalInterval / kEntries);
+    }
+  }
+  for (std::thread& each : clients)
+    each.join();
+  int machines = 0;
+  for (size_t i = 0; i < kTargets + kEntries; ++i) {
+    machine& each = fleet.At(i);
+    Note(each.name + ": peak " + std::to_string(each.peak_kb / 1024) +
+         " MB, killed " + std::to_string(each.memory_kills) +
+         " times for its memory, ended " + std::to_string(each.own_ends) +
+         " times by itself");
+    machines += ends_of(i) >= 3 ? 1 : 0;
+  }
+  return machines >= 2 ? kBroken : kHeld;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -984,6 +1064,7 @@
       {"unreadable_report", RunUnreadableReport},
       {"slow_reader_at_stop", RunSlowReaderAtStop},
       {"slow_readers", RunSlowReaders},
+      {"slow_workers", RunSlowWorkers},
   };
   const auto found = cases.find(argv[1]);
   if (found == cases.end() || access(argv[2], X_OK) != 0)
