--- a/review/second_cases_test.cc
+++ b/review/second_cases_test.cc
@@ -894,59 +894,6 @@
   return machines >= 2 ? kBroken : kHeld;
 }
 
-// A node is stopped as planned while clients read large answers slowly, each
-// within its time budget.
-int RunSlowReaderAtStop(const case_run& run) {
-  constexpr size_t kAnswerBytes = size_t{24} << 20U;
-  // The answer is read 5.2 s after the request, and the budget is 6 s.
-  constexpr double kBytesPerSecond = static_cast<double>(kAnswerBytes) / 5.2;
-  constexpr int kClients = 3;
-  static deployment fleet(kAnswerBytes);
-  const stop_guard guard{&fleet};
-  fleet.AddMachine("lagos-ikeja", "drawvault");
-  fleet.AddMachine("lagos-lekki", "orderbook");
-  if (!fleet.Start(run.program, DesiredState({"drawvault", "orderbook"}, 6000)))
-    return kCannotRun;
-  machine& stopped = fleet.At(0);
-  std::vector<answer> answers(kClients);
-  std::vector<std::thread> clients;
-  for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&, i] {
-      answers[i] = fleet.Request(stopped, "GET", "/download/2f",
-                                 milliseconds(6000), kBytesPerSecond);
-    });
-    Sleep(milliseconds(150));
-  }
-  Sleep(milliseconds(200));
-  if (run.trouble) {
-    Note("SIGTERM to " + stopped.name);
-    stopped.stop_sent = true;
-    stopped.keep_running = false;
-    const auto sent_at = steady::now();
-    kill(stopped.pid, SIGTERM);
-    while (stopped.pid > 0 && steady::now() - sent_at < kGrace)
-      Sleep(milliseconds(10));
-    Note("its process " +
-         std::string(stopped.pid > 0 ? "still runs" : "has ended") + " after " +
-         std::to_string(
-             std::chrono::duration<double>(steady::now() - sent_at).count()) +
-         " s");
-    if (stopped.pid > 0)
-      kill(stopped.pid, SIGKILL);
-  }
-  for (std::thread& each : clients)
-    each.join();
-  int cut = 0;
-  for (const answer& each : answers) {
-    if (each.expected == 0 && run.trouble == false)
-      return kCannotRun;
-    // An answer that ended at its time budget is not counted.
-    cut += each.status == 0 && each.expected > 0 && each.took < 6.0 ? 1 : 0;
-  }
-  Note(std::to_string(cut) + " answers were cut");
-  return cut > 0 ? kBroken : kHeld;
-}
-
 // Clients on two machines read large answers slowly, each within its time
 // budget. Without trouble they read at once.
 int RunSlowReaders(const case_run& run) {
@@ -1062,7 +1009,6 @@
   g_record = &notes;
   const std::map<std::string, int (*)(const case_run&)> cases = {
       {"unreadable_report", RunUnreadableReport},
-      {"slow_reader_at_stop", RunSlowReaderAtStop},
       {"slow_readers", RunSlowReaders},
       {"slow_workers", RunSlowWorkers},
   };
