--- a/review/second_cases_test.cc
+++ b/review/second_cases_test.cc
@@ -347,11 +347,14 @@
 // The platform's store: keyed topics with one partition.
 class store {
  public:
-  void Start(const std::string& host) {
-    Listen(host, kStorePort, [this](stream* connection) {
+  // Serves one machine at an address, or turns it away while `refuses`.
+  void Serve(const std::string& host, const std::atomic<bool>* refuses) {
+    Listen(host, kStorePort, [this, refuses](stream* connection) {
       while (const auto request =
                  connection->ReadMessage(std::chrono::minutes(10))) {
-        if (!request->complete || !Handle(*request, connection))
+        if (!request->complete ||
+            !(*refuses ? Respond(connection, 503, {{"Store-Era", "1"}}, "{}")
+                       : Handle(*request, connection)))
           return;
       }
     });
@@ -466,6 +469,10 @@
   std::string log_file;
   int64_t born = 0;
   std::atomic<int> sequence{0};
+  // Whether the worker's status reports arrive.
+  std::atomic<bool> reports{true};
+  std::string store_host;
+  std::atomic<bool> store_refuses{false};
   std::atomic<pid_t> pid{0};
   // Ends of the process that no signal of this program asked for.
   std::atomic<int> own_ends{0};
@@ -520,6 +527,7 @@
     const size_t number = machines_.size() + 1;
     added->name = "sidecar-" + zone + "-" + std::to_string(number);
     added->host = prefix_ + std::to_string(number);
+    added->store_host = prefix_ + std::to_string(100 + number);
     added->zone = zone;
     added->service = service;
     added->worker_id = "i-7f3a91c" + std::to_string(number);
@@ -536,9 +544,9 @@
   // Starts all parts and waits until all nodes are ready.
   bool Start(const std::string& program, const std::string& configuration) {
     program_ = program;
-    store_.Start(prefix_ + "250");
     store_.Append("keyed.op", "config", configuration);
     for (const auto& each : machines_) {
+      store_.Serve(each->store_host, &each->store_refuses);
       WriteSettings(*each);
       StartWorker(each.get());
       StartProcess(each.get());
@@ -612,6 +620,12 @@
     return result;
   }
 
+  // Runs at the worker of a machine.
+  int RunsAt(const machine& of) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return runs_at_[of.name];
+  }
+
   int RunsOf(const std::string& id) {
     const std::lock_guard<std::mutex> lock(mutex_);
     return runs_[id];
@@ -626,17 +640,30 @@
   // does.
   void SetMemoryLimit(bool limited) { limits_memory_ = limited; }
 
-  // Sends a status report to a node. The id may hold any bytes.
-  void SendReport(const machine& to,
-                  const std::string& id,
-                  const std::string& body) {
+  // Sends a status report to a node and returns the status of its answer. The
+  // id may hold any bytes.
+  int SendReport(const machine& to,
+                 const std::string& id,
+                 const std::string& body,
+                 const std::string& call = "heartbeat") {
     const auto connection = stream::Connect(to.host, kControlPort);
     if (connection == nullptr)
-      return;
+      return 0;
     connection->Write(MakeRequest(
-        "POST", "/rpc?call=instances.heartbeat&of=" + id,
+        "POST", "/rpc?call=instances." + call + "&of=" + id,
         {{"Host", to.host}, {"Content-Type", "application/json"}}, body));
-    connection->ReadMessage(milliseconds(1000));
+    const auto response = connection->ReadMessage(milliseconds(1000));
+    return response ? response->status : 0;
+  }
+
+  // Body of the worker's next status report.
+  static std::string NextReport(machine* of) {
+    return "{\"service\":\"" + of->service + "\",\"address\":\"" + of->host +
+           ":" + std::to_string(kWorkerPort) + "\",\"zone\":\"" + of->zone +
+           "\",\"version\":\"v1\",\"slots\":109,\"state\":\"ready\","
+           "\"coldRemainingMs\":0,\"seq\":" +
+           std::to_string(++of->sequence) +
+           ",\"born\":" + std::to_string(of->born) + "}";
   }
 
  private:
@@ -654,7 +681,7 @@
         << ",\"metrics\":" << address(kLastPeerPort)
         << "},\"target\":{\"service\":\"" << of.service
         << "\",\"address\":" << address(kWorkerPort)
-        << "},\"store\":{\"address\":\"" << prefix_ << "250:" << kStorePort
+        << "},\"store\":{\"address\":\"" << of.store_host << ":" << kStorePort
         << "\"},\"retry_ratio\":0.2,\"limits\":{\"memory_mb\":" << kMemoryMb
         << ",\"max_descriptors\":4100},\"announcement_interval_ms\":"
         << kHeartbeat.count() << ",\"stop_grace_s\":" << kGrace.count() / 1000
@@ -675,6 +702,7 @@
             {
               const std::lock_guard<std::mutex> lock(mutex_);
               ++runs_[id];
+              ++runs_at_[of->name];
             }
             const size_t body_size = std::strtoull(
                 request->Get("content-length").c_str(), nullptr, 10);
@@ -692,14 +720,8 @@
         worker_read_rate_ > 0 ? 64 << 10 : 0);
     std::thread([this, of] {
       for (;;) {
-        SendReport(*of, of->worker_id,
-                   "{\"service\":\"" + of->service + "\",\"address\":\"" +
-                       of->host + ":" + std::to_string(kWorkerPort) +
-                       "\",\"zone\":\"" + of->zone +
-                       "\",\"version\":\"v1\",\"slots\":109,\"state\":"
-                       "\"ready\",\"coldRemainingMs\":0,\"seq\":" +
-                       std::to_string(++of->sequence) +
-                       ",\"born\":" + std::to_string(of->born) + "}");
+        if (of->reports)
+          SendReport(*of, of->worker_id, NextReport(of));
         Sleep(kHeartbeat);
       }
     }).detach();
@@ -796,6 +818,7 @@
   double worker_read_rate_ = 0;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
+  std::map<std::string, int> runs_at_;
 };
 
 // Threads of a deployment run until the program exits, so that it is static and
@@ -1070,6 +1093,70 @@
   return starved ? kBroken : kHeld;
 }
 
+// A worker leaves, and its node confirms it. Then the process of the node is
+// killed, while the store turns away its machine, and two status reports that
+// the worker sent before it left arrive.
+int RunForgottenLeaving(const case_run& run) {
+  constexpr milliseconds kDrain(2000);
+  static deployment fleet(600);
+  const stop_guard guard{&fleet};
+  fleet.AddMachine("lagos-ikeja", "orderbook");
+  fleet.AddMachine("lagos-ikeja", "stockdesk");
+  fleet.AddMachine("lagos-lekki", "orderbook");
+  if (!fleet.Start(run.program, DesiredState({"orderbook", "stockdesk"}, 6000)))
+    return kCannotRun;
+  machine& leaving = fleet.At(0);
+  // Both reports are late by seconds.
+  leaving.reports = false;
+  Sleep(milliseconds(200));
+  const std::string first_report = fleet.NextReport(&leaving);
+  Note("the worker sends a report, seq " + std::to_string(leaving.sequence));
+  Sleep(kHeartbeat);
+  const std::string second_report = fleet.NextReport(&leaving);
+  Note("the worker sends a report, seq " + std::to_string(leaving.sequence));
+  Sleep(milliseconds(100));
+  const int confirmation = fleet.SendReport(
+      leaving, leaving.worker_id,
+      "{\"born\":" + std::to_string(leaving.born) + "}", "deregister");
+  const auto left_at = steady::now();
+  const auto wait_until = [&left_at](int ms) {
+    std::this_thread::sleep_until(left_at + milliseconds(ms));
+  };
+  Note("the worker deregisters, answer " + std::to_string(confirmation));
+  if (confirmation != 200)
+    return kCannotRun;
+  wait_until(300);
+  leaving.store_refuses = run.trouble;
+  wait_until(500);
+  if (run.trouble) {
+    Note("the store turns away " + leaving.name + ", its process is killed");
+    kill(leaving.pid, SIGKILL);
+  }
+  wait_until(2000);
+  Note("the first report arrives, answer " +
+       std::to_string(
+           fleet.SendReport(leaving, leaving.worker_id, first_report)));
+  wait_until(2500);
+  Note("the second report arrives, answer " +
+       std::to_string(
+           fleet.SendReport(leaving, leaving.worker_id, second_report)));
+  // All processes have run for 3 s.
+  wait_until(4500);
+  const int runs_before = fleet.RunsAt(leaving);
+  for (int i = 0; i < 35; ++i) {
+    fleet.Request(fleet.At(1), "POST", "/unsafe/2f", milliseconds(6000), 0,
+                  "orderbook");
+    Sleep(milliseconds(100));
+  }
+  const int runs = fleet.RunsAt(leaving) - runs_before;
+  Note(std::to_string(runs) + " of 35 requests reached the worker that left, " +
+       std::to_string((milliseconds(4500) - kDrain).count()) +
+       " ms and more after drainMs");
+  wait_until(9300);
+  leaving.store_refuses = false;
+  return runs > 0 ? kBroken : kHeld;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -1085,6 +1172,7 @@
       {"slow_readers", RunSlowReaders},
       {"slow_workers", RunSlowWorkers},
       {"large_messages", RunLargeMessages},
+      {"forgotten_leaving", RunForgottenLeaving},
   };
   const auto found = cases.find(argv[1]);
   if (found == cases.end() || access(argv[2], X_OK) != 0)
