--- a/review/second_cases_test.cc
+++ b/review/second_cases_test.cc
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -731,6 +732,8 @@
   void StartProcess(machine* of) const {
     const pid_t pid = fork();
     if (pid == 0) {
+      // Also when this program is ended from outside.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int log = open(of->log_file.c_str(),
                            O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
       dup2(log, STDOUT_FILENO);
