--- a/review/second_cases_test.cc
+++ b/review/second_cases_test.cc
@@ -737,6 +737,8 @@
   }
 
   void StartProcess(machine* of) const {
+    const std::string variable = "SKYLARKHOIST_NODE_FILE=" + of->settings_file;
+    const char* const environment[] = {variable.c_str(), nullptr};
     const pid_t pid = fork();
     if (pid == 0) {
       // Also when this program is ended from outside.
@@ -745,8 +747,8 @@
                            O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
       dup2(log, STDOUT_FILENO);
       dup2(log, STDERR_FILENO);
-      setenv("SKYLARKHOIST_NODE_FILE", of->settings_file.c_str(), 1);
-      execl(program_.c_str(), program_.c_str(), "hosted", nullptr);
+      execle(program_.c_str(), program_.c_str(), "hosted", nullptr,
+             environment);
       _exit(127);
     }
     of->pid = pid;
