Write JSON without exceptions for bytes that are not UTF-8

Cause: the id comes from the path of the report and may have any bytes. A departure is written to the store as JSON, json::dump throws for strings that are not UTF-8 (the process named type_error.316), and nothing catches an exception in a callback of the event loop.

Change: JsonText writes JSON and replaces such bytes.

Evidence: departures AnIdThatIsNotUtf8DoesNotEndTheProcess ended the test program with type_error.316 before the change.

--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -65,7 +65,7 @@
 }
 
 std::string EntryToText(const std::string& path, const config_entry& entry) {
-  return path + " " + (entry.value ? entry.value->dump() : "(deleted)") +
+  return path + " " + (entry.value ? JsonText(*entry.value) : "(deleted)") +
          " (version " + std::to_string(entry.version) + ", by " + entry.author +
          ")\n";
 }
@@ -271,7 +271,7 @@
   // Prints `value` with --json, and `text` otherwise.
   void Print(const json& value, const std::string& text) {
     if (options_.json_output)
-      *environment_.out << value.dump() << "\n" << std::flush;
+      *environment_.out << JsonText(value) << "\n" << std::flush;
     else
       *environment_.out << text << std::flush;
   }
@@ -373,9 +373,9 @@
       differences.push_back(
           {{"path", path}, {"published", published_value}, {"file", value}});
       if (!published_value.is_null())
-        text += "- " + path + " " + published_value.dump() + "\n";
+        text += "- " + path + " " + JsonText(published_value) + "\n";
       if (!value.is_null())
-        text += "+ " + path + " " + value.dump() + "\n";
+        text += "+ " + path + " " + JsonText(value) + "\n";
     }
     const bool equal = differences.empty();
     Print({{"differences", std::move(differences)}}, text);
@@ -470,7 +470,7 @@
         result.entry_in_force ? EntryToJson(*result.entry_in_force) : json();
     std::string text =
         path + ": conflict: another change was published first\n  yours:    " +
-        (value.is_null() ? "(deleted)" : value.dump()) + " (base version " +
+        (value.is_null() ? "(deleted)" : JsonText(value)) + " (base version " +
         std::to_string(base_version) + ")\n  in force: ";
     text += result.entry_in_force ? EntryToText(path, *result.entry_in_force)
                                   : path + " (never published)\n";
--- a/decisions/config_schema.cc
+++ b/decisions/config_schema.cc
@@ -670,10 +670,10 @@
       text << "| `" << name << "` | " << setting.at("x-must").get<std::string>()
            << " | "
            << (is_required ? "required"
-                           : "`" + setting.at("default").dump() + "`")
+                           : "`" + JsonText(setting.at("default")) + "`")
            << " | " << setting.at("description").get<std::string>() << " |\n";
     }
-    text << "\nExample: `" << subtree.example.dump() << "`\n";
+    text << "\nExample: `" << JsonText(subtree.example) << "`\n";
   }
   return text.str();
 }
--- a/decisions/config_state.cc
+++ b/decisions/config_state.cc
@@ -258,8 +258,7 @@
       value["incarnation"] = ToHex(record.member.incarnation);
       break;
   }
-  // Replaces invalid UTF-8, since dump would throw otherwise.
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  return JsonText(value);
 }
 
 tl::expected<config_record, record_error> ParseRecord(std::string_view data) {
--- a/kernel/json.cc
+++ b/kernel/json.cc
@@ -64,4 +64,17 @@
   return result;
 }
 
+std::string JsonText(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool IsUtf8(std::string_view text) {
+  try {
+    (void)json(text).dump();
+    return true;
+  } catch (const json::type_error&) {
+    return false;
+  }
+}
+
 }  // namespace skylarkhoist
--- a/kernel/json_test.cc
+++ b/kernel/json_test.cc
@@ -40,6 +40,18 @@
       ParseJson(std::string(10, '[') + std::string(10, ']')).has_value());
 }
 
+// Guards against an exception, which ends the process, for strings of other
+// programs that are not UTF-8.
+TEST(json, TextOfStringsThatAreNotUtf8) {
+  const json value = {{"a\xff", std::string("b\xfe") + "c"}};
+  const std::string replacement = "\xef\xbf\xbd";
+  STRCMP_EQUAL(("{\"a" + replacement + "\":\"b" + replacement + "c\"}").c_str(),
+               JsonText(value).c_str());
+  CHECK_TRUE(IsUtf8("") && IsUtf8("i-1") && IsUtf8("\xc3\xa4"));
+  for (const char* text : {"\xff", "a\x80", "\xc3", "\xed\xa0\x80"})
+    CHECK_FALSE_TEXT(IsUtf8(text), text);
+}
+
 TEST(json, ReportsMalformedInput) {
   for (const char* text : {"", "{", "{\"a\":}", "nul", "[1,]", "\xff"})
     CHECK_FALSE(ParseJson(text).has_value());
--- a/node/call_types.cc
+++ b/node/call_types.cc
@@ -145,9 +145,8 @@
         std::max<int64_t>(1, (ToMilliseconds(retry_after) + 999) / 1000);
     response.headers.Add("Retry-After", std::to_string(seconds));
   }
-  response.body =
-      json{{"reason", label}, {"ran", ran_text}, {"request_id", ToText(id)}}
-          .dump();
+  response.body = JsonText(
+      {{"reason", label}, {"ran", ran_text}, {"request_id", ToText(id)}});
   return response;
 }
 
--- a/node/config_follower.cc
+++ b/node/config_follower.cc
@@ -487,8 +487,7 @@
     return;
   fbs::config_stateT state;
   state.offset = fold_.offset();
-  state.state =
-      fold_.ToJson().dump(-1, ' ', false, json::error_handler_t::replace);
+  state.state = JsonText(fold_.ToJson());
   peers_->Send(from, MakeEnvelope(std::move(state)));
 }
 
--- a/node/departure_log.cc
+++ b/node/departure_log.cc
@@ -23,7 +23,7 @@
                      {"generation", each.run.generation},
                      {"sequence", each.sequence},
                      {"gone", each.gone}});
-  return json{{"departures", items}}.dump();
+  return JsonText({{"departures", items}});
 }
 
 std::vector<target_departure> Decode(const std::string& value) {
--- a/node/departure_log_test.cc
+++ b/node/departure_log_test.cc
@@ -178,6 +178,24 @@
   CHECK_TRUE(RunsAtTarget() > 0);
 }
 
+// Guards against a process that ends because a leaving target names itself with
+// bytes that are not UTF-8, and against its own target's departure that is lost
+// with them.
+TEST(departures, AnIdThatIsNotUtf8DoesNotEndTheProcess) {
+  fleet.node(0).HandleDeparture("i-\xff\xfe", 7);
+  target_announcement odd = last;
+  odd.address = "other:1";
+  odd.id = "i-\x80";
+  odd.state = fbs::member_state::kDraining;
+  fleet.node(0).HandleAnnouncement(odd);
+  CHECK_TRUE(fleet.node(0).HandleDeparture("t0", 5));
+  CHECK_TRUE(Confirm().value_or(false));
+  RestartAllNodes();
+  fleet.Advance(milliseconds(500));
+  AnnounceLate();
+  CHECK_EQUAL(0, RunsAtTarget());
+}
+
 // Guards against damaged records that end the process, and against those of
 // other nodes.
 TEST(departures, IgnoresDamagedRecords) {
--- a/node/node.cc
+++ b/node/node.cc
@@ -85,7 +85,7 @@
   http_response response;
   response.status = status;
   response.headers.Add("Content-Type", "application/json");
-  response.body = body.dump() + "\n";
+  response.body = JsonText(body) + "\n";
   return response;
 }
 
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -100,7 +100,7 @@
   const json record = {{"address", options_.peer_address},
                        {"zone", options_.zone},
                        {"incarnation", options_.incarnation}};
-  store_->Put(store_topic::kNodes, options_.node, record.dump(),
+  store_->Put(store_topic::kNodes, options_.node, JsonText(record),
               [this, call = ++current_call_,
                alive = std::weak_ptr<bool>(alive_)](const auto& result) {
                 if (alive.expired() || call != current_call_)
--- a/node/rollout_records.cc
+++ b/node/rollout_records.cc
@@ -24,9 +24,8 @@
 }
 
 std::string EncodeRolloutStatus(const rollout_status& status) {
-  return json{{"state", PhaseName(status.phase)},
-              {"targetVersion", status.target_version}}
-      .dump();
+  return JsonText({{"state", PhaseName(status.phase)},
+                   {"targetVersion", status.target_version}});
 }
 
 std::optional<rollout_status> DecodeRolloutStatus(const std::string& value) {
--- a/node/store_config_follower.cc
+++ b/node/store_config_follower.cc
@@ -86,7 +86,7 @@
       item["era"] = each.era;
     items.push_back(std::move(item));
   }
-  return items.dump(-1, ' ', false, json::error_handler_t::replace);
+  return JsonText(items);
 }
 
 }  // namespace
