Bound the findings about a malformed text

Cause: each duplicate name adds a finding with its whole path, and the findings are joined for the log and for the response. Texts of others are parsed in reports, records of the store, messages of peers and settings; lists below a long name grow in the same way.

Evidence: json FindingsOfManyDuplicatesAreSmall finds 10,000 findings instead of 100 without the bound.

--- a/kernel/json.cc
+++ b/kernel/json.cc
@@ -39,8 +39,10 @@
           case json::parse_event_t::key: {
             const auto name = value.get<std::string>();
             path.back() = name;
+            // The path of a name may be as long as the whole text.
             if (!seen_names.back().insert(name).second)
-              problems.Add(JoinPath(path), "duplicate name");
+              problems.Add(problems.is_full() ? "" : JoinPath(path),
+                           "duplicate name");
             break;
           }
           default:
--- a/kernel/json_schema.cc
+++ b/kernel/json_schema.cc
@@ -147,11 +147,8 @@
     found.Add(place, fallback);
   // Sorted by path, since the order of valijson's errors depends on its order
   // of checking keywords.
-  std::vector<finding> sorted = found.items();
-  std::sort(sorted.begin(), sorted.end(),
-            [](const auto& a, const auto& b) { return a.place < b.place; });
-  for (finding& item : sorted)
-    problems->Add(std::move(item.place), std::move(item.message));
+  found.SortByPlace();
+  problems->Append(found);
 }
 
 std::string TruncatedJsonText(const json& value) {
--- a/kernel/json_test.cc
+++ b/kernel/json_test.cc
@@ -18,6 +18,20 @@
   STRCMP_EQUAL("/a", result.error().items()[1].place.c_str());
 }
 
+// Guards against a process that exceeds its memory because each of the findings
+// in somebody else's text is as long as the text.
+TEST(json, FindingsOfManyDuplicatesAreSmall) {
+  std::string text = "{\"" + std::string(10'000, 'k') + "\":{\"a\":0";
+  for (int i = 0; i < 10'000; ++i)
+    text += ",\"a\":1";
+  text += "}}";
+  const auto result = ParseJson(text);
+  CHECK_FALSE(result.has_value());
+  CHECK_EQUAL(findings::kMaxItems, result.error().items().size());
+  CHECK_TRUE(result.error().ToText().size() < text.size());
+  STRCMP_CONTAINS("and 9900 more", result.error().ToText().c_str());
+}
+
 // Guards against a process that ends because a number in somebody else's text
 // is too large.
 TEST(json, ReportsNumbersThatAreTooLarge) {
