Let peers tell a restarted node which targets have left

Cause: what a node has confirmed is kept in its memory and in the store. A process that the store does not answer had neither, and a second announcement counted, so that live targets are not kept out of service while the store is away. Two announcements may be late as well as one, and nothing in them tells when they were sent. The same held for each way to leave, a kill of all nodes, a store that is silent or was restored from an older copy, and for a process that has read the configuration but not yet the departures.

Change: departure_exchange sends departures to the nodes of the own zone and to neighbours in others, which remember them for two minutes and report them to the next process of the node, as do nodes that read the records of all nodes at their start. Without an answer of the store, a target is in service from its second announcement on as before, but not in the first second, in which peers connect; a process that gets its first configuration before any report waits again, for half as long. The node records are read as soon as the store answers again. A process without a configuration serves nothing, so it needs a peer that has kept running, or one that the store answers; either knows the departure. The record format moves to departure_records, which both classes use.

Evidence: seven tests of the group departures failed with the reports ignored and without the wait (34 to 89 requests at the target that had left), and AStoreThatIsBackTellsOfADepartureAtOnce with 30 requests before the records were read at once, and with 1 before the second wait.

--- a/node/departure_log.cc
+++ b/node/departure_log.cc
@@ -1,55 +1,24 @@
 #include "node/departure_log.h"
 
-#include <string_view>
 #include <utility>
 
-#include "kernel/json.h"
 #include "kernel/log.h"
+#include "node/departure_records.h"
 
 namespace skylarkhoist {
 namespace {
 
-constexpr std::string_view kKeySuffix = "/departures";
-
 constexpr duration kRetryDelay = std::chrono::milliseconds(300);
 
 // Targets wait 1 s for a response to their announcement.
 constexpr duration kMaxWait = std::chrono::milliseconds(800);
 
-std::string Encode(const std::vector<target_departure>& departures) {
-  json items = json::array();
-  for (const target_departure& each : departures)
-    items.push_back({{"id", each.run.id},
-                     {"generation", each.run.generation},
-                     {"sequence", each.sequence},
-                     {"gone", each.gone}});
-  return JsonText({{"departures", items}});
-}
-
-std::vector<target_departure> Decode(const std::string& value) {
-  std::vector<target_departure> departures;
-  const auto document = ParseJson(value);
-  if (!document || !document->is_object() || !document->contains("departures"))
-    return departures;
-  for (const json& item : (*document)["departures"]) {
-    if (!item.is_object() || !item.contains("id") || !item["id"].is_string() ||
-        !item.contains("generation") ||
-        !item["generation"].is_number_integer() || !item.contains("sequence") ||
-        !item["sequence"].is_number_integer() || !item.contains("gone") ||
-        !item["gone"].is_boolean())
-      continue;
-    departures.push_back(
-        {{item["id"], item["generation"]}, item["sequence"], item["gone"]});
-  }
-  return departures;
-}
-
 }  // namespace
 
 departure_log::departure_log(loop* run_loop,
                              keyed_store* store,
                              const std::string& node)
-    : loop_(run_loop), store_(store), key_(node + std::string(kKeySuffix)) {}
+    : loop_(run_loop), store_(store), key_(DepartureKey(node)) {}
 
 departure_log::~departure_log() {
   loop_->Cancel(retry_timer_);
@@ -59,7 +28,7 @@
 
 void departure_log::Store(const std::vector<target_departure>& departures) {
   ++version_;
-  value_ = Encode(departures);
+  value_ = EncodeDepartures(departures);
   Write();
 }
 
@@ -130,16 +99,10 @@
     if (record.key == key_ && record.value) {
       if (value_.empty())
         value_ = *record.value;
-      return Decode(*record.value);
+      return DecodeDepartures(*record.value);
     }
   }
   return {};
 }
 
-bool departure_log::IsDepartureKey(const std::string& key) {
-  return key.size() >= kKeySuffix.size() &&
-         key.compare(key.size() - kKeySuffix.size(), kKeySuffix.size(),
-                     kKeySuffix) == 0;
-}
-
 }  // namespace skylarkhoist
--- a/node/departure_log.h
+++ b/node/departure_log.h
@@ -48,9 +48,6 @@
   // Whether the store does not keep yet what was last passed to Store.
   bool is_behind() const { return stored_version_ < version_; }
 
-  // Returns whether a record of store_topic::kNodes holds departures.
-  static bool IsDepartureKey(const std::string& key);
-
  private:
   struct waiter {
     uint64_t version = 0;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -121,6 +121,7 @@
 executor::~executor() {
   loop_->Cancel(target_expiry_timer_);
   loop_->Cancel(held_suspects_timer_);
+  loop_->Cancel(departure_reports_timer_);
   for (auto& [address, target] : targets_) {
     loop_->Cancel(target.dispatch_timer);
     loop_->Cancel(target.crash_timer);
@@ -265,11 +266,34 @@
     on_departure_();
 }
 
-void executor::SetDepartures(const std::vector<target_departure>& departures) {
+void executor::AwaitDepartures(duration report_time) {
   const time_point now = loop_->Now();
+  knows_departures_ = false;
+  departure_reports_until_ =
+      std::max(departure_reports_until_, now + report_time);
+  loop_->Cancel(departure_reports_timer_);
+  departure_reports_timer_ =
+      loop_->RunAfter(departure_reports_until_ - now, [this] {
+        departure_reports_timer_ = 0;
+        if (on_targets_changed_)
+          on_targets_changed_();
+      });
+}
+
+void executor::SetDepartures(const std::vector<target_departure>& departures) {
   knows_departures_ = true;
+  AddDepartures(departures);
+  if (on_targets_changed_)
+    on_targets_changed_();
+}
+
+bool executor::AddDepartures(const std::vector<target_departure>& departures) {
+  const time_point now = loop_->Now();
+  bool added = false;
   for (const target_departure& departure : departures)
-    departures_.Record(departure, now);
+    added = departures_.Record(departure, now) || added;
+  if (!added)
+    return false;
   for (auto& [address, target] : targets_) {
     target_announcement& last = target.announcement;
     if (last.state != fbs::member_state::kServing ||
@@ -283,16 +307,20 @@
   }
   if (on_targets_changed_)
     on_targets_changed_();
+  return true;
 }
 
 bool executor::IsInService(const local_target& target) const {
   // Checks the age at each use: after a pause of the process, calls arrive
   // before the timer that expires targets, and the last announcement may be out
   // of date.
-  if (target.down || target.status.leaving ||
-      (!knows_departures_ && !target.announced_again) ||
+  const time_point now = loop_->Now();
+  const bool may_have_left =
+      !knows_departures_ &&
+      (!target.announced_again || now < departure_reports_until_);
+  if (target.down || target.status.leaving || may_have_left ||
       target.announcement.state != fbs::member_state::kServing ||
-      target.announced_at + options_.announcement_timeout < loop_->Now())
+      target.announced_at + options_.announcement_timeout < now)
     return false;
   const auto service = config_->services.find(target.announcement.service);
   return service == config_->services.end() ||
--- a/node/executor.h
+++ b/node/executor.h
@@ -109,9 +109,14 @@
 
   // Targets that this process does not know may have left before it started.
   // Until SetDepartures tells which, such a target is in service only from its
-  // second announcement on: a single one may be late.
-  void AwaitDepartures() { knows_departures_ = false; }
+  // second announcement on, since a single one may be late, and not before
+  // `report_time` has passed, in which other nodes report what they remember
+  // (see AddDepartures). A further call extends this time.
+  void AwaitDepartures(duration report_time);
+  // Sets the departures that an earlier process of this node has stored.
   void SetDepartures(const std::vector<target_departure>& departures);
+  // Adds departures that other nodes remember. Returns whether one was unknown.
+  bool AddDepartures(const std::vector<target_departure>& departures);
 
   // Returns the targets that leave or have left.
   std::vector<target_departure> Departures() {
@@ -316,6 +321,9 @@
   target_status_tracker target_statuses_;
   departure_memory departures_;
   bool knows_departures_ = true;
+  // Until then other nodes may report departures.
+  time_point departure_reports_until_;
+  timer_id departure_reports_timer_ = 0;
   std::unordered_map<request_id, open_execution, request_id_hash> executions_;
   // Running executions by the caller's id.
   std::unordered_map<std::string, request_id> runs_by_caller_id_;
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -109,6 +109,7 @@
                  &transport_,
                  DirectoryOptions(options_)),
       departure_log_(parts.run_loop, &store_, options_.name),
+      departure_exchange_(parts.run_loop, &transport_, options_.name),
       executor_(parts.run_loop,
                 &transport_,
                 parts.targets,
@@ -152,28 +153,24 @@
   });
   entry_.SetRateTokenReturner(
       [this](const std::string& customer) { tokens_.Return(customer); });
-  config_.OnChange([this] {
-    entry_.SetConfig(config_.view());
-    executor_.SetConfig(config_.view());
-    tokens_.SetConfig(config_.view());
-  });
+  config_.OnChange([this] { OnConfigChange(); });
   store_.OnChange([this] { OnEraChange(); });
   config_.OnNewRecords([this] { BroadcastOffset(); });
   config_.OnStoreChange([this](bool lost) {
     directory_.SetStoreLost(options_.peer_address, lost);
+    if (!lost)
+      directory_.OnStoreAnswered();
     BroadcastOffset();
   });
   directory_.OnMembersChanged([this] { OnMembersChanged(); });
-  executor_.AwaitDepartures();
+  executor_.AwaitDepartures(options_.departure_report_time);
   directory_.OnRecordsRead([this](const std::vector<keyed_record>& records) {
-    if (std::exchange(has_departures_, true))
-      return;
-    executor_.SetDepartures(departure_log_.Load(records));
-    if (departure_log_.is_behind())
-      departure_log_.Store(executor_.Departures());
+    OnRecordsRead(records);
+  });
+  executor_.OnDeparture([this] {
+    departure_log_.Store(executor_.Departures());
+    PublishDepartures();
   });
-  executor_.OnDeparture(
-      [this] { departure_log_.Store(executor_.Departures()); });
   executor_.OnTargetsChanged(
       [this] { directory_.SetTargets(executor_.DescribeTargets()); });
   executor_.OnRun([this](const std::string& route, bool started) {
@@ -233,6 +230,46 @@
                                               [this] { PublishCapacity(); });
 }
 
+void hosted_node::OnConfigChange() {
+  // If no node knows the departures so far, the one that has read the
+  // configuration in the store reads and reports them next. Without a
+  // configuration, the target gets no calls of this node anyway.
+  if (!std::exchange(has_config_, true) && !has_departures_ &&
+      !has_departure_report_)
+    executor_.AwaitDepartures(options_.departure_report_time / 2);
+  entry_.SetConfig(config_.view());
+  executor_.SetConfig(config_.view());
+  tokens_.SetConfig(config_.view());
+}
+
+// Only the first read matters: later departures are known from this process and
+// from its peers.
+void hosted_node::OnRecordsRead(const std::vector<keyed_record>& records) {
+  if (std::exchange(has_departures_, true))
+    return;
+  executor_.SetDepartures(departure_log_.Load(records));
+  if (departure_log_.is_behind())
+    departure_log_.Store(executor_.Departures());
+  PublishDepartures();
+  departure_exchange_.OnRecordsRead(records);
+}
+
+void hosted_node::PublishDepartures() {
+  const std::vector<target_departure> departures = executor_.Departures();
+  departure_exchange_.Publish(departures, directory_.ZonePeers());
+  departure_exchange_.Publish(departures, directory_.Neighbours());
+}
+
+void hosted_node::HandleDepartureReport(const peer_info& from,
+                                        const fbs::departure_reportT& report) {
+  const auto departures = departure_exchange_.Receive(from, report);
+  if (!departures)
+    return;
+  has_departure_report_ = true;
+  if (executor_.AddDepartures(*departures))
+    LogStateChange("node", "departures_reported", {{"peer", from.node}});
+}
+
 void hosted_node::OnRun(const std::string& route, bool started) {
   if (started) {
     counted_calls_.OnRunStart(route);
@@ -352,6 +389,8 @@
     rollouts_.HandleReport(from, *report);
   else if (const auto* grant = body.Asrollout_grant())
     rollouts_.HandleGrant(*grant);
+  else if (const auto* departed = body.Asdeparture_report())
+    HandleDepartureReport(from, *departed);
   else if (const auto* heartbeat = body.Asheartbeat())
     HandleHeartbeat(from, *heartbeat);
 }
@@ -380,6 +419,7 @@
   entry_.OnLinkUp(peer);
   // A node that has restarted does not know the requests that crash targets.
   if (peer.address != options_.peer_address) {
+    departure_exchange_.OnLinkUp(peer, executor_.Departures());
     for (fbs::suspectT& suspect : executor_.QuarantinedRequests())
       transport_.Send(peer.address, MakeEnvelope(std::move(suspect)));
     config_.SendUnconfirmedRecords(peer.address);
@@ -388,6 +428,7 @@
 
 void hosted_node::OnLinkDown(const peer_info& peer, link_down_cause cause) {
   directory_.OnLinkDown(peer, cause);
+  departure_exchange_.OnLinkDown(peer);
   entry_.OnLinkDown(peer, cause);
 }
 
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -13,6 +13,7 @@
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
 #include "kernel/random.h"
+#include "node/departure_exchange.h"
 #include "node/departure_log.h"
 #include "node/entry.h"
 #include "node/executor.h"
@@ -50,6 +51,11 @@
   // A local target whose last announcement is older than this is out of
   // service.
   duration announcement_timeout = std::chrono::seconds(6);
+  // Time in which the peers of a new process connect to it and report the
+  // departures that its predecessor confirmed. Without an answer of the store,
+  // no target is in service before. A live target does not wait for it if it
+  // is at most the interval between two announcements.
+  duration departure_report_time = std::chrono::seconds(1);
   // How long a draining node still accepts requests, so that callers have time
   // to notice that it is no longer ready.
   duration drain_grace = std::chrono::milliseconds(2500);
@@ -145,6 +151,12 @@
   // The store was restored from a copy that may lack what this node wrote.
   void OnEraChange();
   void OnMembersChanged();
+  void OnConfigChange();
+  void OnRecordsRead(const std::vector<keyed_record>& records);
+  // Sends the departures of the local target to some other nodes.
+  void PublishDepartures();
+  void HandleDepartureReport(const peer_info& from,
+                             const fbs::departure_reportT& report);
   // Shares what was learned about the local target when it has changed.
   void PublishCapacity();
   // Peer addresses of the other nodes that may have a target of the service.
@@ -165,6 +177,7 @@
   store_era store_;
   node_directory directory_;
   departure_log departure_log_;
+  departure_exchange departure_exchange_;
   executor executor_;
   entry entry_;
   store_config_follower config_;
@@ -176,6 +189,9 @@
   call_estimator estimated_calls_;
   // The departures that an earlier run of this process stored were read.
   bool has_departures_ = false;
+  // A peer has reported which departures of that run it knows.
+  bool has_departure_report_ = false;
+  bool has_config_ = false;
   bool draining_ = false;
   std::function<void()> drained_;
   // When the process ends at the latest.
--- a/node/node_directory.cc
+++ b/node/node_directory.cc
@@ -7,7 +7,7 @@
 #include "kernel/json.h"
 #include "kernel/log.h"
 #include "node/call_types.h"
-#include "node/departure_log.h"
+#include "node/departure_records.h"
 #include "node/node_view_messages.h"
 #include "wire/address.h"
 
@@ -124,6 +124,14 @@
   WriteOwnRecord();
 }
 
+void node_directory::OnStoreAnswered() {
+  if (has_read_records_ || self_.state == fbs::member_state::kGone)
+    return;
+  loop_->Cancel(step_timer_);
+  step_timer_ = 0;
+  WriteOwnRecord();
+}
+
 void node_directory::ReadNodeRecords() {
   store_->ReadNewest(store_topic::kNodes,
                      [this, call = ++current_call_,
@@ -166,7 +174,7 @@
   size_t added = 0;
   for (const keyed_record& record : result->records) {
     if (!record.value || record.key == options_.node ||
-        departure_log::IsDepartureKey(record.key))
+        NodeOfDepartureKey(record.key))
       continue;
     const auto value = ParseJson(*record.value);
     if (!value || !value->is_object() || !value->contains("address") ||
--- a/node/node_directory.h
+++ b/node/node_directory.h
@@ -83,6 +83,10 @@
   // the record of this node. Writes it again and reads those of the others.
   void OnEraChange();
 
+  // To be called when the store answers after it did not. Reads the records at
+  // once if that has failed so far.
+  void OnStoreAnswered();
+
   void HandleGossip(const peer_info& from, const fbs::gossipT& gossip);
   void HandleViewRequest(const peer_info& from,
                          const fbs::zone_view_requestT& request) {
--- a/wire/messages_generated.h
+++ b/wire/messages_generated.h
@@ -206,6 +206,14 @@
 struct rollout_grantBuilder;
 struct rollout_grantT;
 
+struct departure_entry;
+struct departure_entryBuilder;
+struct departure_entryT;
+
+struct departure_report;
+struct departure_reportBuilder;
+struct departure_reportT;
+
 struct envelope;
 struct envelopeBuilder;
 struct envelopeT;
@@ -306,6 +314,10 @@
 bool operator!=(const rollout_slow_timeT &lhs, const rollout_slow_timeT &rhs);
 bool operator==(const rollout_grantT &lhs, const rollout_grantT &rhs);
 bool operator!=(const rollout_grantT &lhs, const rollout_grantT &rhs);
+bool operator==(const departure_entryT &lhs, const departure_entryT &rhs);
+bool operator!=(const departure_entryT &lhs, const departure_entryT &rhs);
+bool operator==(const departure_reportT &lhs, const departure_reportT &rhs);
+bool operator!=(const departure_reportT &lhs, const departure_reportT &rhs);
 bool operator==(const envelopeT &lhs, const envelopeT &rhs);
 bool operator!=(const envelopeT &lhs, const envelopeT &rhs);
 
@@ -651,11 +663,12 @@
   target_crash = 26,
   rollout_report = 27,
   rollout_grant = 28,
+  departure_report = 29,
   MIN = NONE,
-  MAX = rollout_grant
+  MAX = departure_report
 };
 
-inline const payload (&EnumValuespayload())[29] {
+inline const payload (&EnumValuespayload())[30] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -685,13 +698,14 @@
     payload::node_addresses,
     payload::target_crash,
     payload::rollout_report,
-    payload::rollout_grant
+    payload::rollout_grant,
+    payload::departure_report
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[30] = {
+  static const char * const names[31] = {
     "NONE",
     "hello",
     "heartbeat",
@@ -721,13 +735,14 @@
     "target_crash",
     "rollout_report",
     "rollout_grant",
+    "departure_report",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::rollout_grant)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::departure_report)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -848,6 +863,10 @@
   static const payload enum_value = payload::rollout_grant;
 };
 
+template<> struct payloadTraits<skylarkhoist::fbs::departure_report> {
+  static const payload enum_value = payload::departure_report;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -964,6 +983,10 @@
   static const payload enum_value = payload::rollout_grant;
 };
 
+template<> struct payloadUnionTraits<skylarkhoist::fbs::departure_reportT> {
+  static const payload enum_value = payload::departure_report;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -1218,6 +1241,14 @@
     return type == payload::rollout_grant ?
       reinterpret_cast<const skylarkhoist::fbs::rollout_grantT *>(value) : nullptr;
   }
+  skylarkhoist::fbs::departure_reportT *Asdeparture_report() {
+    return type == payload::departure_report ?
+      reinterpret_cast<skylarkhoist::fbs::departure_reportT *>(value) : nullptr;
+  }
+  const skylarkhoist::fbs::departure_reportT *Asdeparture_report() const {
+    return type == payload::departure_report ?
+      reinterpret_cast<const skylarkhoist::fbs::departure_reportT *>(value) : nullptr;
+  }
 };
 
 
@@ -1339,6 +1370,10 @@
       return *(reinterpret_cast<const skylarkhoist::fbs::rollout_grantT *>(lhs.value)) ==
              *(reinterpret_cast<const skylarkhoist::fbs::rollout_grantT *>(rhs.value));
     }
+    case payload::departure_report: {
+      return *(reinterpret_cast<const skylarkhoist::fbs::departure_reportT *>(lhs.value)) ==
+             *(reinterpret_cast<const skylarkhoist::fbs::departure_reportT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -7556,6 +7591,201 @@
 
 flatbuffers::Offset<rollout_grant> Createrollout_grant(flatbuffers::FlatBufferBuilder &_fbb, const rollout_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct departure_entryT : public flatbuffers::NativeTable {
+  typedef departure_entry TableType;
+  std::string id{};
+  int64_t generation = 0;
+  int64_t sequence = 0;
+  bool gone = false;
+};
+
+struct departure_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef departure_entryT NativeTableType;
+  typedef departure_entryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_GENERATION = 6,
+    VT_SEQUENCE = 8,
+    VT_GONE = 10
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t generation() const {
+    return GetField<int64_t>(VT_GENERATION, 0);
+  }
+  int64_t sequence() const {
+    return GetField<int64_t>(VT_SEQUENCE, 0);
+  }
+  bool gone() const {
+    return GetField<uint8_t>(VT_GONE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GONE, 1) &&
+           verifier.EndTable();
+  }
+  departure_entryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(departure_entryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<departure_entry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const departure_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct departure_entryBuilder {
+  typedef departure_entry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(departure_entry::VT_ID, id);
+  }
+  void add_generation(int64_t generation) {
+    fbb_.AddElement<int64_t>(departure_entry::VT_GENERATION, generation, 0);
+  }
+  void add_sequence(int64_t sequence) {
+    fbb_.AddElement<int64_t>(departure_entry::VT_SEQUENCE, sequence, 0);
+  }
+  void add_gone(bool gone) {
+    fbb_.AddElement<uint8_t>(departure_entry::VT_GONE, static_cast<uint8_t>(gone), 0);
+  }
+  explicit departure_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<departure_entry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<departure_entry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<departure_entry> Createdeparture_entry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t generation = 0,
+    int64_t sequence = 0,
+    bool gone = false) {
+  departure_entryBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_generation(generation);
+  builder_.add_id(id);
+  builder_.add_gone(gone);
+  return builder_.Finish();
+}
+
+struct departure_entry::Traits {
+  using type = departure_entry;
+  static auto constexpr Create = Createdeparture_entry;
+};
+
+inline flatbuffers::Offset<departure_entry> Createdeparture_entryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t generation = 0,
+    int64_t sequence = 0,
+    bool gone = false) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return skylarkhoist::fbs::Createdeparture_entry(
+      _fbb,
+      id__,
+      generation,
+      sequence,
+      gone);
+}
+
+flatbuffers::Offset<departure_entry> Createdeparture_entry(flatbuffers::FlatBufferBuilder &_fbb, const departure_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct departure_reportT : public flatbuffers::NativeTable {
+  typedef departure_report TableType;
+  std::string node{};
+  std::vector<std::unique_ptr<skylarkhoist::fbs::departure_entryT>> departures{};
+  departure_reportT() = default;
+  departure_reportT(const departure_reportT &o);
+  departure_reportT(departure_reportT&&) FLATBUFFERS_NOEXCEPT = default;
+  departure_reportT &operator=(departure_reportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct departure_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef departure_reportT NativeTableType;
+  typedef departure_reportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_DEPARTURES = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::departure_entry>> *departures() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::departure_entry>> *>(VT_DEPARTURES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_DEPARTURES) &&
+           verifier.VerifyVector(departures()) &&
+           verifier.VerifyVectorOfTables(departures()) &&
+           verifier.EndTable();
+  }
+  departure_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(departure_reportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<departure_report> Pack(flatbuffers::FlatBufferBuilder &_fbb, const departure_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct departure_reportBuilder {
+  typedef departure_report Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(departure_report::VT_NODE, node);
+  }
+  void add_departures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::departure_entry>>> departures) {
+    fbb_.AddOffset(departure_report::VT_DEPARTURES, departures);
+  }
+  explicit departure_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<departure_report> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<departure_report>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<departure_report> Createdeparture_report(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<skylarkhoist::fbs::departure_entry>>> departures = 0) {
+  departure_reportBuilder builder_(_fbb);
+  builder_.add_departures(departures);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct departure_report::Traits {
+  using type = departure_report;
+  static auto constexpr Create = Createdeparture_report;
+};
+
+inline flatbuffers::Offset<departure_report> Createdeparture_reportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const std::vector<flatbuffers::Offset<skylarkhoist::fbs::departure_entry>> *departures = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto departures__ = departures ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::departure_entry>>(*departures) : 0;
+  return skylarkhoist::fbs::Createdeparture_report(
+      _fbb,
+      node__,
+      departures__);
+}
+
+flatbuffers::Offset<departure_report> Createdeparture_report(flatbuffers::FlatBufferBuilder &_fbb, const departure_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct envelopeT : public flatbuffers::NativeTable {
   typedef envelope TableType;
   skylarkhoist::fbs::payloadUnion body{};
@@ -7660,6 +7890,9 @@
   const skylarkhoist::fbs::rollout_grant *body_as_rollout_grant() const {
     return body_type() == skylarkhoist::fbs::payload::rollout_grant ? static_cast<const skylarkhoist::fbs::rollout_grant *>(body()) : nullptr;
   }
+  const skylarkhoist::fbs::departure_report *body_as_departure_report() const {
+    return body_type() == skylarkhoist::fbs::payload::departure_report ? static_cast<const skylarkhoist::fbs::departure_report *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -7784,6 +8017,10 @@
   return body_as_rollout_grant();
 }
 
+template<> inline const skylarkhoist::fbs::departure_report *envelope::body_as<skylarkhoist::fbs::departure_report>() const {
+  return body_as_departure_report();
+}
+
 struct envelopeBuilder {
   typedef envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -11000,6 +11237,108 @@
 }
 
 
+inline bool operator==(const departure_entryT &lhs, const departure_entryT &rhs) {
+  return
+      (lhs.id == rhs.id) &&
+      (lhs.generation == rhs.generation) &&
+      (lhs.sequence == rhs.sequence) &&
+      (lhs.gone == rhs.gone);
+}
+
+inline bool operator!=(const departure_entryT &lhs, const departure_entryT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline departure_entryT *departure_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<departure_entryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void departure_entry::UnPackTo(departure_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = generation(); _o->generation = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = gone(); _o->gone = _e; }
+}
+
+inline flatbuffers::Offset<departure_entry> departure_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const departure_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createdeparture_entry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<departure_entry> Createdeparture_entry(flatbuffers::FlatBufferBuilder &_fbb, const departure_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const departure_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _generation = _o->generation;
+  auto _sequence = _o->sequence;
+  auto _gone = _o->gone;
+  return skylarkhoist::fbs::Createdeparture_entry(
+      _fbb,
+      _id,
+      _generation,
+      _sequence,
+      _gone);
+}
+
+
+inline bool operator==(const departure_reportT &lhs, const departure_reportT &rhs) {
+  return
+      (lhs.node == rhs.node) &&
+      (lhs.departures.size() == rhs.departures.size() && std::equal(lhs.departures.cbegin(), lhs.departures.cend(), rhs.departures.cbegin(), [](std::unique_ptr<skylarkhoist::fbs::departure_entryT> const &a, std::unique_ptr<skylarkhoist::fbs::departure_entryT> const &b) { return (a == b) || (a && b && *a == *b); }));
+}
+
+inline bool operator!=(const departure_reportT &lhs, const departure_reportT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline departure_reportT::departure_reportT(const departure_reportT &o)
+      : node(o.node) {
+  departures.reserve(o.departures.size());
+  for (const auto &departures_ : o.departures) { departures.emplace_back((departures_) ? new skylarkhoist::fbs::departure_entryT(*departures_) : nullptr); }
+}
+
+inline departure_reportT &departure_reportT::operator=(departure_reportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(departures, o.departures);
+  return *this;
+}
+
+inline departure_reportT *departure_report::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<departure_reportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void departure_report::UnPackTo(departure_reportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = std::unique_ptr<skylarkhoist::fbs::departure_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<departure_report> departure_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const departure_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createdeparture_report(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<departure_report> Createdeparture_report(flatbuffers::FlatBufferBuilder &_fbb, const departure_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const departure_reportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _departures = _o->departures.size() ? _fbb.CreateVector<flatbuffers::Offset<skylarkhoist::fbs::departure_entry>> (_o->departures.size(), [](size_t i, _VectorArgs *__va) { return Createdeparture_entry(*__va->__fbb, __va->__o->departures[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return skylarkhoist::fbs::Createdeparture_report(
+      _fbb,
+      _node,
+      _departures);
+}
+
+
 inline bool operator==(const envelopeT &lhs, const envelopeT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -11156,6 +11495,10 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_grant *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::departure_report: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::departure_report *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -11287,6 +11630,10 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_grant *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::departure_report: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::departure_report *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -11406,6 +11753,10 @@
       auto ptr = reinterpret_cast<const skylarkhoist::fbs::rollout_grantT *>(value);
       return Createrollout_grant(_fbb, ptr, _rehasher).Union();
     }
+    case payload::departure_report: {
+      auto ptr = reinterpret_cast<const skylarkhoist::fbs::departure_reportT *>(value);
+      return Createdeparture_report(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -11524,6 +11875,10 @@
       value = new skylarkhoist::fbs::rollout_grantT(*reinterpret_cast<skylarkhoist::fbs::rollout_grantT *>(u.value));
       break;
     }
+    case payload::departure_report: {
+      value = new skylarkhoist::fbs::departure_reportT(*reinterpret_cast<skylarkhoist::fbs::departure_reportT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -11671,6 +12026,11 @@
       delete ptr;
       break;
     }
+    case payload::departure_report: {
+      auto ptr = reinterpret_cast<skylarkhoist::fbs::departure_reportT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
