Soak: let workers deregister with late reports, and send unreadable ones

The soak knew neither status reports of other writers nor departures that a node confirms. It now deregisters workers, whose last two reports arrive seconds later, kills half of their nodes and cuts them off from the store, and checks that no request reaches the worker 2 s after the confirmation, also while the store is in disruption. It also sends reports whose id is not UTF-8.

Cause, by the logs: one target loses several runs one after the other, since it drops its responses, and then restarts; the quarantine counts these runs as several crashes.

--- a/decisions/crash_quarantine_test.cc
+++ b/decisions/crash_quarantine_test.cc
@@ -104,6 +104,18 @@
   CHECK_TRUE(IsQuarantined(1));
 }
 
+// Guards against the quarantine of a frequent request because one target loses
+// several of its runs, one after the other, before it crashes once.
+TEST(crash_quarantine, RunsLostBeforeOneCrashCountOnce) {
+  std::vector<run_in_crash> runs;
+  for (int i = 0; i < 6; ++i) {
+    runs.push_back({1, now, now + milliseconds(20)});
+    now += milliseconds(100);
+  }
+  quarantine.OnCrash("front", runs, now);
+  CHECK_FALSE(IsQuarantined(1));
+}
+
 // Guards against a quarantine without end, and against one that nodes which
 // exchange what they know keep up among themselves.
 TEST(crash_quarantine, AQuarantineEnds) {
--- a/testing/soak.cc
+++ b/testing/soak.cc
@@ -44,6 +44,11 @@
 // A node without recent faults accepts a withdrawn key for this long at most.
 constexpr duration kMaxKeyWithdrawalTime = seconds(2);
 constexpr duration kMaxFaultLength = seconds(3);
+// Requests may reach a worker for this long after its departure was confirmed.
+constexpr duration kMaxDepartureTime = seconds(2);
+// After the start of a process or a fault of its connections to other programs,
+// requests may be late for this long.
+constexpr duration kStabilityTime = seconds(3);
 
 constexpr std::array<const char*, 3> kZones = {"a", "b", "c"};
 
@@ -113,6 +118,11 @@
     bool restart_on_exit = true;
     // When the node was started, or when a fault of it last began or ended.
     time_point last_fault_at;
+    // The same without faults of the connections to the store, which excuse no
+    // request to a worker that has left.
+    time_point last_process_fault_at;
+    // When the node confirmed the departure of its worker.
+    std::optional<time_point> worker_left_at;
     // Whether and since when a planned stop is in progress.
     bool stopping = false;
     time_point stop_began_at;
@@ -211,7 +221,7 @@
   void StartProcess(soak_node* node) {
     node->stopping = false;
     node->paused = false;
-    node->last_fault_at = loop_.Now();
+    RecordFault(node);
     ExcuseNode(static_cast<size_t>(node - nodes_.data()));
     const pid_t pid = fork();
     if (pid == 0) {
@@ -269,7 +279,11 @@
       node.status_check.OnNodeExcused(index);
   }
 
-  void RecordFault(soak_node* node) { node->last_fault_at = loop_.Now(); }
+  void RecordFault(soak_node* node) {
+    node->last_fault_at = loop_.Now();
+    node->last_process_fault_at = loop_.Now();
+  }
+  void RecordStoreFault(soak_node* node) { node->last_fault_at = loop_.Now(); }
 
   // Injects one fault and, until `end`, schedules the next. Faults can overlap.
   void InjectNextFault(time_point end) {
@@ -280,12 +294,12 @@
     const auto length = std::chrono::duration_cast<duration>(
         (kMaxFaultLength - milliseconds(200)) * random_.Fraction() +
         milliseconds(200));
-    InjectFault(static_cast<int>(random_.Below(14)), index, length);
+    InjectFault(static_cast<int>(random_.Below(16)), index, length);
     loop_.RunAfter(milliseconds(100 + random_.Below(900)),
                    [this, end] { InjectNextFault(end); });
   }
 
-  // `kind` is below 14. A fault with two numbers is twice as likely.
+  // `kind` is below 16. A fault with two numbers is twice as likely.
   void InjectFault(int kind, size_t index, duration length) {
     soak_node& node = nodes_[index];
     switch (kind) {
@@ -326,6 +340,12 @@
       case 12:
         NameDeparture(&node, length);
         return;
+      case 13:
+        Deregister(index, length);
+        return;
+      case 14:
+        node.worker->SendStrayReport();
+        return;
       default:
         ToggleOldKey();
         return;
@@ -343,13 +363,38 @@
     });
   }
 
+  static void RestartWorker(soak_node* node) {
+    node->worker->Restart();
+    node->status_check.Clear();
+    node->worker_left_at.reset();
+  }
+
+  // Half of the nodes are killed soon after they have confirmed the departure,
+  // and cannot reach the store when they start again.
+  void Deregister(size_t index, duration length) {
+    soak_node& node = nodes_[index];
+    const bool kill_node = random_.Below(2) == 0;
+    const auto kill_delay = milliseconds(random_.Below(500));
+    node.worker->Deregister([this, index, kill_node, kill_delay](bool stored) {
+      if (!stored)
+        return;
+      nodes_[index].worker_left_at = loop_.Now();
+      if (!kill_node)
+        return;
+      loop_.RunAfter(kill_delay, [this, index] {
+        InjectProxyFault(index, true, RandomProxyFault(), 2 * kMaxFaultLength);
+        RecordFault(&nodes_[index]);
+        SendSignal(&nodes_[index], SIGKILL);
+      });
+    });
+    loop_.RunAfter(length + kFaultEffectTime,
+                   [this, index] { RestartWorker(&nodes_[index]); });
+  }
+
   void NameDeparture(soak_node* node, duration length) {
     node->worker->NameDeparture();
     node->status_check.BeginDeparture();
-    loop_.RunAfter(length + kFaultEffectTime, [node] {
-      node->worker->Restart();
-      node->status_check.Clear();
-    });
+    loop_.RunAfter(length + kFaultEffectTime, [node] { RestartWorker(node); });
   }
 
   proxy_fault RandomProxyFault() {
@@ -394,10 +439,13 @@
       return (to_store ? nodes_[index].store_proxy : nodes_[index].worker_proxy)
           .get();
     };
-    RecordFault(&nodes_[index]);
+    const auto record = [this, index, to_store] {
+      to_store ? RecordStoreFault(&nodes_[index]) : RecordFault(&nodes_[index]);
+    };
+    record();
     proxy()->SetFault(fault);
-    loop_.RunAfter(length, [this, index, proxy] {
-      RecordFault(&nodes_[index]);
+    loop_.RunAfter(length, [record, proxy] {
+      record();
       proxy()->SetFault(proxy_fault::kNone);
       // Connections that lost bytes cannot continue, so they are reset.
       proxy()->Reset();
@@ -465,8 +513,7 @@
       node.store_proxy->Reset();
       node.worker_proxy->Reset();
       node.worker->DropResponses(false);
-      node.worker->Restart();
-      node.status_check.Clear();
+      RestartWorker(&node);
       if (node.paused && node.pid > 0)
         kill(node.pid, SIGCONT);
       node.paused = false;
@@ -567,6 +614,7 @@
     if (const auto violation = nodes_[worker_node].status_check.OnRun(
             ran.node, ran.sent_at, loop_.Now()))
       AddViolation(id + ": " + *violation);
+    CheckDeparture(id, ran);
     if (++ran.runs > 1 && !ran.repeatable)
       AddViolation(id + ": ran more than once");
     if (ran.outcome == request_outcome::kRefused && !ran.repeatable)
@@ -585,6 +633,20 @@
     CheckKey(id, ran);
   }
 
+  void CheckDeparture(const std::string& id, const soak_request& ran) {
+    const soak_node& node = nodes_[ran.worker_node];
+    const time_point stable_since = loop_.Now() - kStabilityTime;
+    if (!node.worker_left_at ||
+        loop_.Now() <= *node.worker_left_at + kMaxDepartureTime ||
+        node.last_process_fault_at > stable_since ||
+        nodes_[ran.node].last_process_fault_at > stable_since)
+      return;
+    AddViolation(
+        id + ": reached a worker " +
+        std::to_string(ToMilliseconds(loop_.Now() - *node.worker_left_at)) +
+        " ms after its node had confirmed that it leaves");
+  }
+
   void CheckKey(const std::string& id, const soak_request& ran) {
     const time_point fault_free_since = loop_.Now() - kFaultEffectTime;
     if (ran.key != "k1-old" || old_key_valid_ ||
--- a/testing/soak.h
+++ b/testing/soak.h
@@ -41,7 +41,8 @@
 // Runs nodes as processes on loopback, with workers, callers and a store in
 // this process, and injects faults. Node processes are stopped, killed, paused
 // and restarted. Connections to the store and to workers are reset, or their
-// bytes are delayed or discarded in one or both directions. The seed determines
+// bytes are delayed or discarded in one or both directions. Reports of workers
+// that have left arrive late, and some are not readable. The seed determines
 // the faults but not the timing of the processes, so a run with the same seed
 // can differ.
 //
@@ -55,6 +56,8 @@
 // - A planned stop cuts off no request when no node had recent faults.
 // - A worker that names a limit or its departure in its responses gets no more
 //   requests than that from the nodes that passed such a response on.
+// - A worker that deregisters gets no more requests 2 s after its node has
+//   confirmed it, also while the store does not answer the node.
 // - Requests are served again after the faults.
 soak_result RunSoak(const soak_options& options);
 
--- a/testing/soak_worker.cc
+++ b/testing/soak_worker.cc
@@ -14,6 +14,13 @@
 constexpr duration kMinRunTime = std::chrono::milliseconds(5);
 constexpr size_t kBodyPaddingBytes = 600;
 
+constexpr char kHeartbeatCall[] = "/rpc?call=instances.heartbeat&of=";
+constexpr char kDeregisterCall[] = "/rpc?call=instances.deregister&of=";
+// A call without a response by then counts as failed.
+constexpr duration kCallTimeout = std::chrono::seconds(1);
+// A late report is delayed by this time or up to four times as long.
+constexpr duration kMinReportDelay = std::chrono::milliseconds(800);
+
 http_server_settings ServerSettings(const soak_worker_settings& worker) {
   http_server_settings settings;
   settings.listen_address = worker.listen_address;
@@ -68,26 +75,63 @@
   report_sequence_ = 0;
   limit_.reset();
   leaving_ = false;
+  deregistered_ = false;
+}
+
+void soak_worker::Deregister(std::function<void(bool confirmed)> done) {
+  deregistered_ = true;
+  for (int i = 0; i < 2; ++i) {
+    const duration delay =
+        kMinReportDelay + kMinReportDelay * random_->Below(4);
+    loop_->RunAfter(delay, [this, alive = std::weak_ptr<bool>(alive_),
+                            report = MakeReport()] {
+      if (!alive.expired())
+        Call(kHeartbeatCall + settings_.id, report, [](bool) {});
+    });
+  }
+  Call(kDeregisterCall + settings_.id, json{{"born", run_}}.dump(),
+       std::move(done));
+}
+
+void soak_worker::SendStrayReport() {
+  Call(kHeartbeatCall + std::string("\xff\xfe"),
+       R"({"service":"other","address":"127.0.0.1:9","zone":"z",)"
+       R"("version":"v1","slots":4,"state":"draining",)"
+       R"("coldRemainingMs":0,"seq":4,"born":5})",
+       [](bool) {});
+}
+
+std::string soak_worker::MakeReport() {
+  return json{{"service", settings_.service},
+              {"address", settings_.public_address},
+              {"zone", settings_.zone},
+              {"version", "v1"},
+              {"slots", settings_.slots},
+              {"state", "ready"},
+              {"coldRemainingMs", 0},
+              {"seq", ++report_sequence_},
+              {"born", run_}}
+      .dump();
+}
+
+void soak_worker::Call(const std::string& call,
+                       const std::string& body,
+                       std::function<void(bool ok)> done) {
+  http_request request;
+  request.method = "POST";
+  request.path = call;
+  request.headers.Add("Content-Type", "application/json");
+  request.body = body;
+  client_.Call(settings_.node_address, request, kCallTimeout,
+               [done = std::move(done)](const target_result& result) {
+                 done(result.error == target_error::kNone &&
+                      result.response.status == 200);
+               });
 }
 
 void soak_worker::SendReport() {
-  http_request report;
-  report.method = "POST";
-  report.path = "/rpc?call=instances.heartbeat&of=" + settings_.id;
-  report.headers.Add("Content-Type", "application/json");
-  report.body = json{
-      {"service", settings_.service},
-      {"address", settings_.public_address},
-      {"zone", settings_.zone},
-      {"version", "v1"},
-      {"slots", settings_.slots},
-      {"state", "ready"},
-      {"coldRemainingMs", 0},
-      {"seq", ++report_sequence_},
-      {"born",
-       run_}}.dump();
-  client_.Call(settings_.node_address, report, settings_.report_interval,
-               [](const target_result&) {});
+  if (!deregistered_)
+    Call(kHeartbeatCall + settings_.id, MakeReport(), [](bool) {});
   report_timer_ =
       loop_->RunAfter(settings_.report_interval, [this] { SendReport(); });
 }
--- a/testing/soak_worker.h
+++ b/testing/soak_worker.h
@@ -61,6 +61,11 @@
   void NameLimit(std::optional<double> per_second) { limit_ = per_second; }
   // Names its departure in the responses, while its reports say otherwise.
   void NameDeparture() { leaving_ = true; }
+  // Leaves: deregisters, sends no more reports and calls `done` with whether
+  // the node has confirmed it. Two reports from before arrive some time later.
+  void Deregister(std::function<void(bool confirmed)> done);
+  // Sends the report of another writer, whose id is not UTF-8.
+  void SendStrayReport();
   // Becomes a new run of the worker under the same id.
   void Restart();
 
@@ -69,6 +74,10 @@
   static std::string SignatureFor(const std::string& id);
 
  private:
+  std::string MakeReport();
+  void Call(const std::string& call,
+            const std::string& body,
+            std::function<void(bool ok)> done);
   void SendReport();
   void Handle(const http_request& request,
               const std::shared_ptr<http_exchange>& exchange);
@@ -84,6 +93,7 @@
   int64_t run_ = 1;
   std::optional<double> limit_;
   bool leaving_ = false;
+  bool deregistered_ = false;
   bool drop_responses_ = false;
   bool claim_not_executed_ = false;
   timer_id report_timer_ = 0;
