Explain the exchange of departures more plainly

Read as a newcomer: the example in departure_exchange.h ignored that Receive returns nothing for reports about other nodes, and the comment on the second wait for reports had to be read twice. Only comments change.

--- a/node/departure_exchange.h
+++ b/node/departure_exchange.h
@@ -20,7 +20,8 @@
 //
 //   exchange.Publish(executor.Departures(), peers);   // after each departure
 //   exchange.OnLinkUp(peer, executor.Departures());
-//   executor.AddDepartures(exchange.Receive(from, message));
+//   if (const auto departures = exchange.Receive(from, message))
+//     executor.AddDepartures(*departures);
 class departure_exchange {
  public:
   // `node` is the name of this node.
@@ -30,7 +31,8 @@
   departure_exchange(const departure_exchange&) = delete;
   departure_exchange& operator=(const departure_exchange&) = delete;
 
-  // Sends the departures beside this node to the nodes with these addresses.
+  // Sends the departures beside this node, if there are any, to the nodes with
+  // these addresses.
   void Publish(const std::vector<target_departure>& own,
                const std::vector<std::string>& peers);
 
--- a/node/hosted_node.cc
+++ b/node/hosted_node.cc
@@ -231,9 +231,9 @@
 }
 
 void hosted_node::OnConfigChange() {
-  // If no node knows the departures so far, the one that has read the
-  // configuration in the store reads and reports them next. Without a
-  // configuration, the target gets no calls of this node anyway.
+  // When all nodes start while the store is away, the first configuration may
+  // arrive before any node has read the departures. The node that has read the
+  // configuration in the store reads the departures next and reports them.
   if (!std::exchange(has_config_, true) && !has_departures_ &&
       !has_departure_report_)
     executor_.AwaitDepartures(options_.departure_report_time / 2);
--- a/node/hosted_node.h
+++ b/node/hosted_node.h
@@ -153,7 +153,8 @@
   void OnMembersChanged();
   void OnConfigChange();
   void OnRecordsRead(const std::vector<keyed_record>& records);
-  // Sends the departures of the local target to some other nodes.
+  // Sends the departures of local targets to the nodes of the own zone and to
+  // some of other zones.
   void PublishDepartures();
   void HandleDepartureReport(const peer_info& from,
                              const fbs::departure_reportT& report);
