--- a/review/third/case_fleet_test.cc
+++ b/review/third/case_fleet_test.cc
@@ -224,8 +224,10 @@
                          std::string service,
                          std::string id,
                          run_handler handler,
-                         bool serves)
+                         bool serves,
+                         int slots)
     : loop_(loop),
+      slots_(slots),
       service_(std::move(service)),
       id_(std::move(id)),
       zone_(node.zone),
@@ -259,7 +261,7 @@
   report.headers.Add("Content-Type", "application/json");
   report.body =
       json{{"service", service_},  {"address", address_}, {"zone", zone_},
-           {"version", "v1"},      {"slots", 109},        {"state", "ready"},
+           {"version", "v1"},      {"slots", slots_},     {"state", "ready"},
            {"coldRemainingMs", 0}, {"seq", ++sequence_},  {"born", born_}}
           .dump();
   client_.Call(control_address_, report, seconds(1), [](const auto&) {});
@@ -331,7 +333,7 @@
                                   {"kind", route.kind},
                                   {"timeoutMs", route.timeout_ms},
                                   {"targetLatencyMs", 1500},
-                                  {"priority", 1},
+                                  {"priority", route.priority},
                                   {"service", route.service},
                                   {"maxAttempts", 2},
                                   {"public", false}}));
@@ -344,8 +346,8 @@
                                   {"tls", false},
                                   {"coldStartS", 3.0},
                                   {"coldPerS", 21.0}}));
-  resources.push_back(Resource(
-      "tenants", kTenant, {{"apiKeys", json::array({kKey})}, {"priority", 1}}));
+  resources.push_back(
+      Resource("tenants", kTenant, {{"apiKeys", json::array({kKey})}}));
   resources.push_back({{"resourceType", "limits"},
                        {"metadata", json::object()},
                        {"spec",
--- a/review/third/case_fleet_test.h
+++ b/review/third/case_fleet_test.h
@@ -117,7 +117,8 @@
               std::string service,
               std::string id,
               run_handler handler,
-              bool serves);
+              bool serves,
+              int slots = 109);
   ~case_worker();
   case_worker(const case_worker&) = delete;
   case_worker& operator=(const case_worker&) = delete;
@@ -130,6 +131,7 @@
               const std::shared_ptr<http_exchange>& exchange);
 
   event_loop* loop_;
+  int slots_;
   std::string service_;
   std::string id_;
   std::string zone_;
@@ -156,6 +158,7 @@
   std::string kind;
   std::string service;
   int timeout_ms = 6000;
+  int priority = 1;
 };
 
 // The platform: its store, the processes of the nodes, and its readiness
--- a/review/third/third_cases_test.cc
+++ b/review/third/third_cases_test.cc
@@ -1,11 +1,10 @@
+#include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <cstdlib>
-#include <cstring>
-#include <set>
 #include <thread>
 
 #include "case_fleet_test.h"
@@ -47,8 +46,15 @@
 
 class ordinary_clients {
  public:
-  ordinary_clients(case_fleet* fleet, std::string address, int count)
-      : fleet_(fleet), address_(std::move(address)) {
+  ordinary_clients(case_fleet* fleet,
+                   std::string address,
+                   int count,
+                   std::string prefix = "/browse/",
+                   std::string method = "GET")
+      : fleet_(fleet),
+        method_(std::move(method)),
+        address_(std::move(address)),
+        prefix_(std::move(prefix)) {
     threads_.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i)
       threads_.emplace_back([this, i] { Run(i); });
@@ -83,7 +89,7 @@
       attempt.id = "c" + std::to_string(index) + "-" + std::to_string(i);
       attempt.kept_connection = served > 0;
       attempt.sent = connection->Send(
-          MakeRequest("GET", "/browse/" + attempt.id, attempt.id, 5000));
+          MakeRequest(method_, prefix_ + attempt.id, attempt.id, 5000));
       attempt.response = connection->Read(seconds(6));
       ++served;
       if (!attempt.response.complete ||
@@ -94,6 +100,10 @@
           (attempt.response.complete
                ? std::to_string(attempt.response.status)
                : (attempt.response.closed ? "closed" : "no answer")));
+      const auto retry_after = attempt.response.fields.find("Retry-After");
+      if (retry_after != attempt.response.fields.end())
+        std::this_thread::sleep_for(std::chrono::duration<double>(
+            std::atof(retry_after->second.c_str())));
       const std::lock_guard<std::mutex> lock(mutex_);
       attempts_.push_back(std::move(attempt));
     }
@@ -101,6 +111,8 @@
 
   case_fleet* fleet_;
   std::string address_;
+  std::string prefix_;
+  std::string method_;
   std::atomic<bool> stopping_{false};
   std::vector<std::thread> threads_;
   std::mutex mutex_;
@@ -389,6 +401,12 @@
       std::exit(2);
     acceptor_ = std::thread([this] {
       while (true) {
+        pollfd waited = {listener_, POLLIN, 0};
+        poll(&waited, 1, 20);
+        if (stopping_)
+          return;
+        if ((waited.revents & POLLIN) == 0)
+          continue;
         const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
         if (fd < 0)
           return;
@@ -399,7 +417,7 @@
     });
   }
   ~raw_worker() {
-    shutdown(listener_, SHUT_RDWR);
+    stopping_ = true;
     acceptor_.join();
     close(listener_);
     for (const int fd : fds_)
@@ -450,6 +468,7 @@
   }
 
   responder respond_;
+  std::atomic<bool> stopping_{false};
   int listener_ = -1;
   std::thread acceptor_;
   std::mutex mutex_;
