Review: calls that wait at a silent worker run at the next one at its address

Shown by review/13/run.sh: the queue of a target outlives a report of another service at the same address. The cases that stood in 13 to 15 are dropped, since review/1, 7 and 8 already show them.

--- a/review/third/third_cases_test.cc
+++ b/review/third/third_cases_test.cc
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <cstdlib>
+#include <cstring>
+#include <set>
 #include <thread>
 
 #include "case_fleet_test.h"
@@ -141,22 +143,6 @@
   std::map<std::string, int> runs_;
 };
 
-// LOST, "at any time": requests of kept connections that were passed on to a
-// sound worker and whose connection was closed without an answer.
-int CountLost(case_fleet* fleet,
-              const std::vector<client_attempt>& attempts,
-              run_log* runs) {
-  int lost = 0;
-  for (const client_attempt& each : attempts) {
-    if (each.kept_connection && each.sent && each.response.closed &&
-        !each.response.begun && runs->CountOf(each.id) > 0) {
-      ++lost;
-      fleet->record().Write("lost: " + each.id);
-    }
-  }
-  return lost;
-}
-
 run_handler AnswerAfter(case_fleet* fleet, run_log* runs, duration work) {
   return [fleet, runs, work](const std::string& id, const http_request& request,
                              const std::shared_ptr<http_exchange>& exchange) {
@@ -173,149 +159,6 @@
   return broken ? 1 : 0;
 }
 
-// Clients post single large bodies, inside the limits of the desired state, in
-// calm, for a worker on another machine.
-int LargeBody(const fleet_options& options, bool trouble) {
-  constexpr int kRounds = 3;
-  case_fleet fleet(options);
-  run_log runs;
-  fleet.PublishConfig({{"/book/", "unsafe", "bookings"}});
-  case_worker worker(&fleet.loop(), fleet.nodes()[1], "bookings", "i-7f3a91c2",
-                     AnswerAfter(&fleet, &runs, milliseconds(100)), true);
-  fleet.StartNodes();
-  for (int round = 0; round < kRounds; ++round) {
-    if (!fleet.WaitUntilReady(seconds(20)))
-      return 2;
-    fleet.RunFor(seconds(5));
-    for (const int index : {0, 2}) {
-      const case_node& node = fleet.nodes()[static_cast<size_t>(index)];
-      RunClients(&fleet, 1, [&](int) {
-        const size_t size = trouble ? size_t{64} << 20U : size_t{1} << 20U;
-        const std::string id =
-            "large-" + std::to_string(round) + "-" + node.name;
-        client_connection connection(node.request_address());
-        const bool sent =
-            connection.Send(MakeRequest("POST", "/book/x", id, 5000, size));
-        const received_response response = connection.Read(seconds(7));
-        fleet.record().Write(
-            "client " + id + ", body of " + std::to_string(size) + " bytes" +
-            (sent ? ": " : ", not sent whole: ") +
-            (response.complete ? std::to_string(response.status) : "closed"));
-      });
-      fleet.RunFor(seconds(1));
-    }
-  }
-  int machines = 0;
-  for (const case_node& node : fleet.nodes()) {
-    machines += node.memory_kills >= 3 ? 1 : 0;
-    fleet.record().Write(node.name + ": at most " +
-                         std::to_string(node.largest_kb >> 10U) +
-                         " MB, ended " + std::to_string(node.memory_kills) +
-                         " times for its memory");
-  }
-  return Verdict(&fleet, machines >= 2,
-                 "on " + std::to_string(machines) +
-                     " machines the process ended three times by itself");
-}
-
-// Many clients download large answers and read slowly.
-int SlowReaders(const fleet_options& options, bool trouble) {
-  case_fleet fleet(options);
-  run_log runs;
-  fleet.PublishConfig(
-      {{"/browse/", "safe", "bookings"}, {"/reels/", "safe", "reels"}});
-  case_worker worker(&fleet.loop(), fleet.nodes()[1], "bookings", "i-7f3a91c2",
-                     AnswerAfter(&fleet, &runs, milliseconds(400)), true);
-  case_worker reels(
-      &fleet.loop(), fleet.nodes()[2], "reels", "i-02d9e6b4",
-      [&](const std::string& id, const http_request&,
-          const std::shared_ptr<http_exchange>& exchange) {
-        runs.Add(id);
-        fleet.record().Write("run " + id);
-        exchange->Respond(AnswerTo(id, size_t{7} << 20U));
-      },
-      true);
-  fleet.StartNodes();
-  if (!fleet.WaitUntilReady(seconds(20)))
-    return 2;
-  fleet.RunFor(seconds(4));
-  ordinary_clients clients(&fleet, fleet.nodes()[0].request_address(), 8);
-  fleet.RunFor(seconds(3));
-  RunClients(&fleet, 40, [&](int i) {
-    std::this_thread::sleep_for(milliseconds(100 * i));
-    const std::string id = "reel-" + std::to_string(i);
-    client_connection connection(fleet.nodes()[0].request_address(), 65536);
-    if (connection.is_open()) {
-      connection.Send(MakeRequest("GET", "/reels/x", id, 5000));
-      const received_response response =
-          connection.Read(seconds(8), trouble ? 700'000 : 0);
-      fleet.record().Write("client " + id + ": " +
-                           std::to_string(response.status) + ", " +
-                           std::to_string(response.body.size()) + " bytes" +
-                           (response.complete ? "" : ", incomplete"));
-    }
-  });
-  RunClients(&fleet, 1, [&](int) { clients.Stop(); });
-  const int lost = CountLost(&fleet, clients.attempts(), &runs);
-  for (const case_node& node : fleet.nodes())
-    fleet.record().Write(node.name + ": at most " +
-                         std::to_string(node.largest_kb >> 10U) +
-                         " MB, ended " + std::to_string(node.memory_kills) +
-                         " times for its memory");
-  return Verdict(&fleet, lost > 3,
-                 std::to_string(lost) +
-                     " requests of kept connections were passed on and their "
-                     "connections closed without an answer; 3 are allowed");
-}
-
-// A machine is stopped as planned while clients read large answers slowly.
-int StopSlowReader(const fleet_options& options, bool trouble) {
-  case_fleet fleet(options);
-  run_log runs;
-  fleet.PublishConfig({{"/reels/", "safe", "reels"}});
-  case_worker reels(
-      &fleet.loop(), fleet.nodes()[2], "reels", "i-02d9e6b4",
-      [&](const std::string& id, const http_request&,
-          const std::shared_ptr<http_exchange>& exchange) {
-        runs.Add(id);
-        fleet.record().Write("run " + id);
-        exchange->Respond(AnswerTo(id, size_t{7} << 20U));
-      },
-      true);
-  fleet.StartNodes();
-  if (!fleet.WaitUntilReady(seconds(20)))
-    return 2;
-  fleet.RunFor(seconds(4));
-  case_node& stopped = fleet.nodes()[0];
-  stopped.restarts = false;
-  if (trouble)
-    fleet.Signal(&stopped, SIGTERM);
-  fleet.RunFor(milliseconds(1500));
-  std::atomic<int> cut{0};
-  RunClients(&fleet, 4, [&](int i) {
-    const std::string id = "reel-" + std::to_string(i);
-    client_connection connection(stopped.request_address(), 65536);
-    if (connection.is_open()) {
-      connection.Send(MakeRequest("GET", "/reels/x", id, 6000));
-      const received_response response = connection.Read(seconds(6), 2'000'000);
-      fleet.record().Write(
-          "client " + id + ": " + std::to_string(response.status) + ", " +
-          std::to_string(response.body.size()) + " of " +
-          (response.fields.count("Content-Length") > 0
-               ? response.fields.at("Content-Length")
-               : "unknown") +
-          " bytes" + (response.complete ? "" : ", incomplete") +
-          (response.closed ? ", closed" : ""));
-      if (runs.CountOf(id) > 0 && response.closed && !response.complete)
-        ++cut;
-    }
-  });
-  return Verdict(&fleet, cut > 0,
-                 std::to_string(cut) +
-                     " requests were passed on to a worker and their "
-                     "connections ended without a complete answer");
-}
-
 // Clients of one machine upload to a worker to whose machine the node has no
 // link yet. They send their bodies piece by piece and end together.
 int FirstUploads(const fleet_options& options, bool trouble) {
@@ -403,7 +246,7 @@
       while (true) {
         pollfd waited = {listener_, POLLIN, 0};
         poll(&waited, 1, 20);
-        if (stopping_)
+        if (dark_)
           return;
         if ((waited.revents & POLLIN) == 0)
           continue;
@@ -416,15 +259,44 @@
       }
     });
   }
-  ~raw_worker() {
-    stopping_ = true;
+  ~raw_worker() { End(); }
+
+  // Falls silent as a machine without power does: nothing is answered, and new
+  // connections are not established.
+  void GoDark(const std::string& address) {
+    dark_ = true;
+    listen(listener_, 0);
+    for (int i = 0; i < 3; ++i) {
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      const auto parsed = ParseAddress(address);
+      if (connect(fd, parsed->get(), parsed->length) != 0 &&
+          errno != EINPROGRESS)
+        std::exit(2);
+      fillers_.push_back(fd);
+    }
+  }
+  // Gives the address up. Its connections stay open.
+  void CloseListener() {
+    if (listener_ < 0)
+      return;
+    dark_ = true;
+    shutdown(listener_, SHUT_RDWR);
     acceptor_.join();
-    close(listener_);
-    for (const int fd : fds_)
-      shutdown(fd, SHUT_RDWR);
-    for (std::thread& each : threads_)
+    close(std::exchange(listener_, -1));
+    for (const int fd : std::exchange(fillers_, {}))
+      close(fd);
+  }
+  void End() {
+    CloseListener();
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      ended_ = true;
+      for (const int fd : fds_)
+        shutdown(fd, SHUT_RDWR);
+    }
+    for (std::thread& each : std::exchange(threads_, {}))
       each.join();
-    for (const int fd : fds_)
+    for (const int fd : std::exchange(fds_, {}))
       close(fd);
   }
 
@@ -460,15 +332,20 @@
       input.erase(0, end + 4 + length);
       const std::string answer =
           respond_(FieldOf(head, "X-Request-Id"), head, number++);
-      if (answer.empty() ||
+      while (dark_ && !ended_)
+        std::this_thread::sleep_for(milliseconds(2));
+      if (dark_ || answer.empty() ||
           send(fd, answer.data(), answer.size(), MSG_NOSIGNAL) < 0)
         break;
     }
-    shutdown(fd, SHUT_RDWR);
+    if (!dark_)
+      shutdown(fd, SHUT_RDWR);
   }
 
   responder respond_;
-  std::atomic<bool> stopping_{false};
+  std::atomic<bool> dark_{false};
+  std::atomic<bool> ended_{false};
+  std::vector<int> fillers_;
   int listener_ = -1;
   std::thread acceptor_;
   std::mutex mutex_;
@@ -553,17 +430,80 @@
                      " clients got a success without the worker's signature");
 }
 
+// A worker falls silent, and its address goes to a worker of another service.
+int ReusedAddress(const fleet_options& options, bool trouble) {
+  case_fleet fleet(options);
+  run_log runs;
+  fleet.PublishConfig({{"/date/", "unsafe", "calendar", 5000, 0},
+                       {"/browse/", "safe", "showcase"}});
+  const auto respond = [&](const char* name) {
+    return [&, name](const std::string& id, const std::string& head, int) {
+      fleet.record().Write(std::string(name) + " runs " + id + ": " +
+                           head.substr(0, head.find("\r\n")));
+      runs.Add(id);
+      std::this_thread::sleep_for(milliseconds(200));
+      return SoundAnswer(id);
+    };
+  };
+  const case_node& node = fleet.nodes()[1];
+  const std::string address = node.worker_address();
+  raw_worker calendar_1(address, respond("calendar 1"));
+  auto reports_1 =
+      std::make_unique<case_worker>(&fleet.loop(), node, "calendar",
+                                    "i-calendar-1", run_handler(), false, 17);
+  fleet.StartNodes();
+  if (!fleet.WaitUntilReady(seconds(20)))
+    return 2;
+  fleet.RunFor(seconds(4));
+  ordinary_clients clients(&fleet, fleet.nodes()[0].request_address(), 60,
+                           "/date/", "POST");
+  fleet.RunFor(seconds(4));
+  std::unique_ptr<raw_worker> showcase;
+  std::unique_ptr<case_worker> showcase_reports;
+  std::set<std::string> foreign;
+  std::mutex mutex;
+  if (trouble) {
+    fleet.record().Write("calendar 1 falls silent");
+    reports_1.reset();
+    calendar_1.GoDark(address);
+    fleet.RunFor(milliseconds(2100));
+    fleet.record().Write("its address goes to a worker of showcase");
+    calendar_1.CloseListener();
+    showcase = std::make_unique<raw_worker>(
+        address, [&](const std::string& id, const std::string& head, int) {
+          const std::string line = head.substr(0, head.find("\r\n"));
+          if (head.find("X-Target-Instance: i-showcase-1\r\n") ==
+              std::string::npos) {
+            fleet.record().Write("showcase 1 rejects " + id + ": " + line);
+            return "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + id +
+                   "\r\nX-Instance-Id: i-showcase-1\r\n"
+                   "Content-Length: 0\r\n\r\n";
+          }
+          fleet.record().Write("showcase 1 runs " + id + ": " + line);
+          if (line.find(" /date/") != std::string::npos) {
+            const std::lock_guard<std::mutex> lock(mutex);
+            foreign.insert(id);
+          }
+          std::this_thread::sleep_for(milliseconds(60));
+          return SoundAnswer(id);
+        });
+    showcase_reports = std::make_unique<case_worker>(
+        &fleet.loop(), node, "showcase", "i-showcase-1", run_handler(), false);
+  }
+  fleet.RunFor(seconds(6));
+  RunClients(&fleet, 1, [&](int) { clients.Stop(); });
+  return Verdict(&fleet, !foreign.empty(),
+                 std::to_string(foreign.size()) +
+                     " requests of a route to calendar were run by showcase");
+}
+
 int RunCase(const std::string& name,
             const fleet_options& options,
             bool trouble) {
-  if (name == "large_body")
-    return LargeBody(options, trouble);
-  if (name == "slow_readers")
-    return SlowReaders(options, trouble);
-  if (name == "stop_slow_reader")
-    return StopSlowReader(options, trouble);
   if (name == "spoiled_answers")
     return SpoiledAnswers(options, trouble);
+  if (name == "reused_address")
+    return ReusedAddress(options, trouble);
   if (name == "first_uploads")
     return FirstUploads(options, trouble);
   return 2;
