--- a/review/third/case_fleet_test.cc
+++ b/review/third/case_fleet_test.cc
@@ -254,22 +254,42 @@
   loop_->Cancel(report_timer_);
 }
 
+int64_t case_worker::ColdMs() const {
+  return std::max<int64_t>(
+      0, std::chrono::duration_cast<milliseconds>(cold_until_ - loop_->Now())
+             .count());
+}
+
 void case_worker::Report() {
   http_request report;
   report.method = "POST";
   report.path = "/rpc?call=instances.heartbeat&of=" + id_;
   report.headers.Add("Content-Type", "application/json");
-  report.body =
-      json{{"service", service_},  {"address", address_}, {"zone", zone_},
-           {"version", "v1"},      {"slots", slots_},     {"state", "ready"},
-           {"coldRemainingMs", 0}, {"seq", ++sequence_},  {"born", born_}}
-          .dump();
+  report.body = json{
+      {"service", service_},
+      {"address", address_},
+      {"zone", zone_},
+      {"version", "v1"},
+      {"slots", slots_},
+      {"state", "ready"},
+      {"coldRemainingMs", ColdMs()},
+      {"seq", ++sequence_},
+      {"born",
+       born_}}.dump();
   client_.Call(control_address_, report, seconds(1), [](const auto&) {});
   report_timer_ = loop_->RunAfter(kReportInterval, [this] { Report(); });
 }
 
 void case_worker::Handle(const http_request& request,
                          const std::shared_ptr<http_exchange>& exchange) {
+  if (request.method == "GET" && request.path == "/health") {
+    http_response healthy;
+    healthy.status = 200;
+    healthy.headers.Add("X-Instance-Id", id_);
+    healthy.headers.Add("X-Cold-Remaining-Ms", std::to_string(ColdMs()));
+    exchange->Respond(healthy);
+    return;
+  }
   const std::string* id = request.headers.Find("X-Request-Id");
   const std::string* instance = request.headers.Find("X-Target-Instance");
   if (id == nullptr || (instance != nullptr && *instance != id_)) {
@@ -360,6 +380,13 @@
   store_->AppendRecord("keyed.op", "config", document.dump());
 }
 
+void case_fleet::SetEvacuated(const std::string& zone, bool evacuated) {
+  record_.Write(zone + (evacuated ? " is evacuated" : " is taken back"));
+  store_->AppendRecord(
+      "keyed.op", "evacuate/" + zone,
+      evacuated ? std::optional<std::string>("{}") : std::nullopt);
+}
+
 void case_fleet::StartNodes() {
   json zones = json::object();
   for (const case_node& node : nodes_)
--- a/review/third/case_fleet_test.h
+++ b/review/third/case_fleet_test.h
@@ -109,7 +109,8 @@
   std::string worker_address() const { return host + ":7011"; }
 };
 
-// A sound worker that reports its status to the node of its machine.
+// A sound worker that reports its status to the node of its machine. It also
+// answers health probes, and says there whether it is cold.
 class case_worker {
  public:
   case_worker(event_loop* loop,
@@ -123,9 +124,11 @@
   case_worker(const case_worker&) = delete;
   case_worker& operator=(const case_worker&) = delete;
 
-  const std::string& id() const { return id_; }
+  // The worker is cold for `length` from now on. Its next reports say so.
+  void BecomeCold(duration length) { cold_until_ = loop_->Now() + length; }
 
  private:
+  int64_t ColdMs() const;
   void Report();
   void Handle(const http_request& request,
               const std::shared_ptr<http_exchange>& exchange);
@@ -140,6 +143,7 @@
   run_handler handler_;
   int64_t born_;
   int64_t sequence_ = 0;
+  time_point cold_until_;
   timer_id report_timer_ = 0;
   metrics counters_;
   http_target_client client_;
@@ -174,6 +178,8 @@
   case_record& record() { return record_; }
   std::vector<case_node>& nodes() { return nodes_; }
   void PublishConfig(const std::vector<route_options>& routes);
+  // Evacuates a zone, or takes that back.
+  void SetEvacuated(const std::string& zone, bool evacuated);
   void StartNodes();
   // Waits until each node answers its readiness check with 200.
   bool WaitUntilReady(duration timeout);
--- a/review/third/third_cases_test.cc
+++ b/review/third/third_cases_test.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
 #include <cstring>
@@ -52,8 +53,10 @@
                    std::string address,
                    int count,
                    std::string prefix = "/browse/",
-                   std::string method = "GET")
+                   std::string method = "GET",
+                   duration pause = duration::zero())
       : fleet_(fleet),
+        pause_(pause),
         method_(std::move(method)),
         address_(std::move(address)),
         prefix_(std::move(prefix)) {
@@ -106,6 +109,7 @@
       if (retry_after != attempt.response.fields.end())
         std::this_thread::sleep_for(std::chrono::duration<double>(
             std::atof(retry_after->second.c_str())));
+      std::this_thread::sleep_for(pause_);
       const std::lock_guard<std::mutex> lock(mutex_);
       attempts_.push_back(std::move(attempt));
     }
@@ -115,6 +119,7 @@
   std::string address_;
   std::string prefix_;
   std::string method_;
+  duration pause_;
   std::atomic<bool> stopping_{false};
   std::vector<std::thread> threads_;
   std::mutex mutex_;
@@ -330,8 +335,11 @@
       }
       const std::string head = input.substr(0, end + 2);
       input.erase(0, end + 4 + length);
+      const std::string id = FieldOf(head, "X-Request-Id");
       const std::string answer =
-          respond_(FieldOf(head, "X-Request-Id"), head, number++);
+          id.empty() ? "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n"
+                     : respond_(id, head, number++);
       while (dark_ && !ended_)
         std::this_thread::sleep_for(milliseconds(2));
       if (dark_ || answer.empty() ||
@@ -497,9 +505,73 @@
                      " requests of a route to calendar were run by showcase");
 }
 
+// A zone is evacuated and taken back, and its worker is cold by then.
+int TakenBackCold(const fleet_options& options, bool trouble) {
+  // FAILBACK: coldPerS x coldOvershoot + coldSlack in one second.
+  constexpr double kAllowed = 21 * 1.5 + 5;
+  constexpr duration kColdTime = seconds(3);
+  constexpr int kRounds = 3;
+  using steady = std::chrono::steady_clock;
+  case_fleet fleet(options);
+  std::vector<steady::time_point> cold_runs;
+  time_point cold_until;
+  fleet.PublishConfig({{"/browse/", "safe", "bookings"}});
+  std::vector<std::unique_ptr<case_worker>> workers;
+  for (size_t i = 0; i < fleet.nodes().size(); ++i) {
+    workers.push_back(std::make_unique<case_worker>(
+        &fleet.loop(), fleet.nodes()[i], "bookings",
+        "i-bookings-" + std::to_string(i),
+        [&, i](const std::string& id, const http_request&,
+               const std::shared_ptr<http_exchange>& exchange) {
+          const bool cold = i == 0 && fleet.loop().Now() < cold_until;
+          if (cold)
+            cold_runs.push_back(steady::now());
+          fleet.record().Write("worker " + std::to_string(i) +
+                               (cold ? ", cold, runs " : " runs ") + id);
+          fleet.loop().RunAfter(milliseconds(20), [id, exchange] {
+            exchange->Respond(AnswerTo(id, 300));
+          });
+        },
+        true));
+  }
+  fleet.StartNodes();
+  if (!fleet.WaitUntilReady(seconds(20)))
+    return 2;
+  fleet.RunFor(seconds(4));
+  // About as many requests as a worker of the site gets in calm.
+  ordinary_clients clients(&fleet, fleet.nodes()[0].request_address(), 2,
+                           "/browse/", "GET", milliseconds(18));
+  fleet.RunFor(seconds(4));
+  for (int round = 0; round < kRounds; ++round) {
+    fleet.SetEvacuated("cairo-a", true);
+    fleet.RunFor(seconds(8));
+    if (trouble) {
+      fleet.record().Write("worker 0 is cold");
+      workers[0]->BecomeCold(kColdTime);
+      cold_until = fleet.loop().Now() + kColdTime;
+    }
+    fleet.SetEvacuated("cairo-a", false);
+    fleet.RunFor(seconds(5) + milliseconds(370));
+  }
+  RunClients(&fleet, 1, [&](int) { clients.Stop(); });
+  size_t most = 0;
+  for (size_t first = 0; first < cold_runs.size(); ++first) {
+    size_t end = first;
+    while (end < cold_runs.size() &&
+           cold_runs[end] - cold_runs[first] < seconds(1))
+      ++end;
+    most = std::max(most, end - first);
+  }
+  return Verdict(&fleet, static_cast<double>(most) > kAllowed,
+                 "the cold worker got " + std::to_string(most) +
+                     " requests in one second; 36.5 are allowed");
+}
+
 int RunCase(const std::string& name,
             const fleet_options& options,
             bool trouble) {
+  if (name == "taken_back_cold")
+    return TakenBackCold(options, trouble);
   if (name == "spoiled_answers")
     return SpoiledAnswers(options, trouble);
   if (name == "reused_address")
