Take only whole responses of targets for answers

Cause: a response without the echoed id failed a call only on a connection that had served a request before. A faulty target may send bytes that are no answer on a new connection as well. On related paths a success without the signature or with an encoded body was passed on, a refusal without the id proved "not run", and an entry took any undamaged answer of another node.

Change: the target client fails a call whose response lacks the id, on each connection. The dialect tells whether a response is one to this request; the executor and the entry check it. The request may have run, so it gets 502, or another target if it may be repeated. The fake targets now copy ids and sign, as real ones do.

http_target_client ARepeatedRefusalDoesNotCountForTheNextRequest took a refusal without an id on a new connection as a step before its check, which is the fault itself. That step now has the id; what it checks about the reused connection is the same, and the new test holds the opposite for the new connection.

--- a/node/entry.cc
+++ b/node/entry.cc
@@ -53,6 +53,14 @@
   return XXH64(body.data(), body.size(), with_route);
 }
 
+// Returns the response in an answer without its body.
+http_response ResponseHead(const fbs::call_answerT& answer) {
+  http_response head;
+  head.status = answer.status;
+  head.headers = FromWire(answer.headers);
+  return head;
+}
+
 bool ProcessEnded(link_down_cause cause) {
   return cause == link_down_cause::kRefused ||
          cause == link_down_cause::kReplaced;
@@ -475,7 +483,7 @@
       return;
     case dedup_verdict::kAnswered:
       if (IsIntact(*decision.answer))
-        FinishAnswered(call, *decision.answer);
+        FinishAnswered(call, *decision.answer, ResponseHead(*decision.answer));
       else
         FinishError(call, reason::kDuplicateUnknown, fbs::ran_state::kUnknown);
       return;
@@ -786,14 +794,20 @@
   ReportAnswerToVersions(*call, answer);
   EndAttempt(call);
   if (!IsIntact(answer)) {
-    damaged_answers_.Increment();
-    OnAttemptLost(call, reason::kAnswerDamaged, fbs::ran_state::kUnknown);
+    OnDamagedAnswer(call);
     return;
   }
   switch (answer.outcome) {
-    case fbs::outcome::kAnswered:
-      FinishAnswered(call, answer);
+    case fbs::outcome::kAnswered: {
+      http_response head = ResponseHead(answer);
+      // The executor checks this too, unless its process has an earlier
+      // version.
+      if (options_.dialect->IsAnswerTo(call->metadata.caller_id, head))
+        FinishAnswered(call, answer, std::move(head));
+      else
+        OnDamagedAnswer(call);
       return;
+    }
     case fbs::outcome::kRefused:
       OnAttemptRefused(call, ReasonFromWire(answer.reason), answer.local);
       return;
@@ -808,6 +822,11 @@
   }
 }
 
+void entry::OnDamagedAnswer(open_call* call) {
+  damaged_answers_.Increment();
+  OnAttemptLost(call, reason::kAnswerDamaged, fbs::ran_state::kUnknown);
+}
+
 void entry::RememberTarget(const attempt& ended,
                            const fbs::call_answerT& answer) {
   const time_point now = loop_->Now();
@@ -958,10 +977,10 @@
   }
 }
 
-void entry::FinishAnswered(open_call* call, const fbs::call_answerT& answer) {
-  http_response response;
-  response.status = answer.status;
-  response.headers = FromWire(answer.headers);
+void entry::FinishAnswered(open_call* call,
+                           const fbs::call_answerT& answer,
+                           http_response head) {
+  http_response response = std::move(head);
   options_.dialect->FinishResponse(call->id, &response);
   response.body.assign(answer.body.begin(), answer.body.end());
   if (call->key_claimed)
--- a/node/entry.h
+++ b/node/entry.h
@@ -403,7 +403,11 @@
   void QueryCallState(entry_call_id call_id);
   void OnDeadline(entry_call_id call_id);
   bool IsIntact(const fbs::call_answerT& answer) const;
-  void FinishAnswered(open_call* call, const fbs::call_answerT& answer);
+  void OnDamagedAnswer(open_call* call);
+  // `head` is that of the response in `answer`.
+  void FinishAnswered(open_call* call,
+                      const fbs::call_answerT& answer,
+                      http_response head);
   void FinishError(open_call* call, reason why, fbs::ran_state ran);
   void Finish(open_call* call, const http_response& response);
   void ReportToDedup(const open_call& call,
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -105,6 +105,9 @@
                                          "Calls that arrived a second time")),
       damaged_calls_(counters->Counter("skylarkhoist_damaged_calls_total",
                                        "Calls with a wrong checksum")),
+      spoiled_responses_(counters->Counter(
+          "skylarkhoist_spoiled_responses_total",
+          "Responses in place of which a target sent other bytes")),
       stale_announcements_(counters->Counter(
           "skylarkhoist_old_announcements_total",
           "Announcements of targets that were dropped as old")),
@@ -722,6 +725,14 @@
   if (found == executions_.end())
     return;
   open_execution& execution = found->second;
+  if (result.error == target_error::kNone &&
+      !options_.dialect->IsAnswerTo(execution.caller_id, result.response)) {
+    spoiled_responses_.Increment();
+    target_result spoiled;
+    spoiled.error = target_error::kMalformed;
+    OnTargetResult(id, spoiled);
+    return;
+  }
   const std::string address = execution.target_address;
   const run_outcome outcome =
       result.error == target_error::kNone
--- a/node/executor.h
+++ b/node/executor.h
@@ -347,6 +347,7 @@
   prometheus::Counter& sent_to_target_;
   prometheus::Counter& duplicate_calls_;
   prometheus::Counter& damaged_calls_;
+  prometheus::Counter& spoiled_responses_;
   prometheus::Counter& stale_announcements_;
   prometheus::Histogram& queue_wait_;
   metrics* counters_;
--- a/node/request_dialect.h
+++ b/node/request_dialect.h
@@ -67,6 +67,16 @@
   virtual void AddTargetHeaders(const target_request_metadata& metadata,
                                 http_headers* headers) const = 0;
 
+  // Whether a target gave this response to the request that its caller named
+  // `caller_id`. A faulty target may send other bytes in its place, which prove
+  // nothing about the request: it may have run.
+  virtual bool IsAnswerTo(const std::string& caller_id,
+                          const http_response& response) const {
+    static_cast<void>(caller_id);
+    static_cast<void>(response);
+    return true;
+  }
+
   // `made_child_calls`: the target made child calls for this request.
   virtual run_outcome ClassifyResponse(const http_response& response,
                                        bool made_child_calls) const = 0;
--- a/testing/fake_targets.cc
+++ b/testing/fake_targets.cc
@@ -247,11 +247,21 @@
   loop_.Cancel(call.work_timer);
   target_result result = Response(status);
   result.response.body = call.body;
+  if (const std::string* id = call.request.headers.Find("X-Request-Id"))
+    result.response.headers.Add("X-Request-Id", *id);
+  result.response.headers.Add("X-Response-Signature", "signed");
+  if (call.target->replacement)
+    result.response = *call.target->replacement;
   for (const auto& [name, value] : call.target->response_fields)
     result.response.headers.Add(name, value);
   Deliver(id, result);
 }
 
+void fake_targets::ReplaceResponses(const std::string& address,
+                                    std::optional<http_response> response) {
+  targets_.at(address).replacement = std::move(response);
+}
+
 void fake_targets::SetResponseField(const std::string& address,
                                     const std::string& name,
                                     const std::string& value) {
--- a/testing/fake_targets.h
+++ b/testing/fake_targets.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "kernel/loop.h"
@@ -126,6 +127,10 @@
   void SetResponseField(const std::string& address,
                         const std::string& name,
                         const std::string& value);
+  // Sends `response` in place of all later responses to calls that the target
+  // runs; nothing ends that.
+  void ReplaceResponses(const std::string& address,
+                        std::optional<http_response> response);
   // Breaks the connections of all calls; the target is back, cold, after its
   // restart time.
   void Crash(const std::string& address);
@@ -151,6 +156,7 @@
     child_call_function child;
     fake_target_counters counters;
     std::map<std::string, std::string> response_fields;
+    std::optional<http_response> replacement;
     bool is_up = true;
     bool is_cold = false;
     bool cold_detectable = false;
--- a/testing/hosted_fleet.h
+++ b/testing/hosted_fleet.h
@@ -65,6 +65,8 @@
                   const std::string& key,
                   duration wait = std::chrono::milliseconds(500));
 
+  // Sets the dialect of nodes that start from now on.
+  void SetDialect(const request_dialect* dialect) { dialect_ = dialect; }
   void StartNode(size_t index);
   void StopNode(size_t index);
   // Announces a new state of the target.
--- a/wire/http_target_client.cc
+++ b/wire/http_target_client.cc
@@ -166,7 +166,6 @@
             const http_request& request,
             std::vector<uint8_t> owned_body) {
     call_id_ = id;
-    ++sent_requests_;
     foreign_responses_ = 0;
     is_head_request_ = request.method == "HEAD";
     ResetResponse();
@@ -396,9 +395,10 @@
       ResetResponse();
       return true;
     }
-    // It may be an earlier response once more, so that even a refusal does not
-    // prove that this request has not run.
-    if (echo == nullptr && !expected.empty() && sent_requests_ > 1) {
+    // It may be an earlier response once more, or bytes that are no response of
+    // the target, so that even a refusal does not prove that this request has
+    // not run.
+    if (echo == nullptr && !expected.empty()) {
       client_->foreign_responses_.Increment();
       client_->OnFailure(call_id_, target_error::kMalformed);
       return false;
@@ -452,7 +452,6 @@
   time_point idle_until_ = time_point::max();
   // 0 while the connection is idle.
   target_call_id call_id_ = 0;
-  int sent_requests_ = 0;
   // Responses to other requests since the last request.
   int foreign_responses_ = 0;
   // Bytes parsed for the present response, including interim ones.
--- a/wire/http_target_client.h
+++ b/wire/http_target_client.h
@@ -30,8 +30,9 @@
   size_t max_buffered_bytes = 64U << 20U;
   // Name of a header field that targets copy from the request to the response.
   // A response with a different value belongs to an earlier request and is
-  // ignored. A response without the field fails the call, unless the connection
-  // is new and can have no earlier one. If empty, responses are not checked.
+  // ignored. A response without the field belongs to no request and fails the
+  // call, on a new connection too. If empty, or if the request lacks the field,
+  // responses are not checked.
   std::string echo_field;
 };
 
--- a/wire/http_target_client_test.cc
+++ b/wire/http_target_client_test.cc
@@ -269,7 +269,7 @@
     Call(Request("GET"));
     CHECK_TRUE(AcceptOne());
     ReadUntil("\r\n\r\n");
-    accepted.Write(refusal_with(id));
+    accepted.Write(refusal_with("X-One: 1\r\n"));
     CheckError(target_error::kNone, true, "refusal");
     LONGS_EQUAL(503, result->response.status);
     CHECK_EQUAL(1U, client->idle_connections());
@@ -293,6 +293,29 @@
   }
 }
 
+// Guards against taking bytes that are not the target's response for it, as a
+// success or as a refusal, where they are the first ones on a new connection.
+TEST(http_target_client, BytesWithoutAnIdAreNoResponseOnANewConnection) {
+  http_target_client_settings settings;
+  settings.echo_field = "X-One";
+  client = std::make_unique<http_target_client>(&loop, settings, &counters);
+  for (const char* head : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 421 Elsewhere\r\n",
+                           "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n"}) {
+    for (const bool has_length : {true, false}) {
+      Call(Request("POST", "body"));
+      CHECK_TRUE_TEXT(AcceptOne(), head);
+      ReadUntil("body");
+      accepted.Write(std::string(head) +
+                     (has_length ? "Content-Length: 12\r\n" : "") +
+                     "\r\nwrong bytes.");
+      if (!has_length)
+        accepted.Close();
+      CheckError(target_error::kMalformed, true, head);
+      CHECK_EQUAL(0U, client->idle_connections());
+    }
+  }
+}
+
 // Guards against reusing a connection whose target responded before it read the
 // whole body: it would parse the rest of the body as the next request.
 TEST(http_target_client, EarlyResponseClosesTheConnection) {
