Ask a target whether it has turned cold before it gets its whole load

Cause: the executor learns of a cold target from its announcements alone. When the zone came back into service it went on with the last one, from before the target turned cold; in the record of the case the load stops at the next announcement. The same held wherever a target gets load on knowledge older than what may have made it cold: it comes into service again in any way, its node was cut off while the zone was out, announcements are missing or late, or the target restarts under its id.

Change: at these moments the target is limited to its cold rate and asked for its health, which tells how long it stays cold (cold_state, cold_check). A warm one answers within milliseconds, and its load is reported as that of a warm one meanwhile. A late announcement no longer ends a cold state that a health check has shown. Views of the configuration count the returns of each zone, so that a node which was cut off notices one that it missed. Services without a health path are treated as before.

The fleet of the tests repeated the cold time of a restart in each later announcement; it now counts down.

--- a/decisions/config_view.h
+++ b/decisions/config_view.h
@@ -88,6 +88,9 @@
   // Calls per second that a target can handle while it is cold; 0 means that
   // only `cold_capacity` applies.
   double cold_per_second = 0;
+  // Path of GET requests to which a target tells how long it stays cold; empty
+  // if it does not.
+  std::string health_path;
   // Upper bound of the learned concurrency limit of a target.
   int max_limit = 1000;
   // Longest wait in the queue of a target.
@@ -114,6 +117,9 @@
   std::map<std::string, service_config> services;
   // Zones that operators took out of service.
   std::set<std::string> out_of_service_zones;
+  // For each zone, a number that grows when the zone may have been put back
+  // into service.
+  std::map<std::string, uint64_t> zone_returns;
 
   // Returns the route with the longest matching path prefix among those that
   // match `host` and `method`, or null. A prefix matches whole path segments;
--- a/decisions/target_scheduler.h
+++ b/decisions/target_scheduler.h
@@ -93,9 +93,19 @@
   // of the settings, including settings that change meanwhile. A time in the
   // past ends the cold state.
   void SetCold(time_point until, time_point now) {
+    may_be_cold_ = false;
     cold_limiter_.SetLimit(settings_.cold_per_second, until, now);
   }
-  bool IsCold(time_point now) const { return cold_limiter_.IsLimited(now); }
+  // The target may be cold: it gets calls at most at the cold rate until the
+  // next call of SetCold. Its load is still that of a warm target, since this
+  // usually takes only some milliseconds.
+  void LimitToColdRate(time_point now) {
+    may_be_cold_ = true;
+    cold_limiter_.SetLimit(settings_.cold_per_second, time_point::max(), now);
+  }
+  bool IsCold(time_point now) const {
+    return !may_be_cold_ && cold_limiter_.IsLimited(now);
+  }
 
   // Sets the calls per second that the target says it accepts; nothing when it
   // names no limit.
@@ -162,6 +172,7 @@
   bool exempt_admitted_;
   double min_new_share_;
   call_rate_limiter cold_limiter_;
+  bool may_be_cold_ = false;
   call_rate_limiter named_limiter_;
   // Calls per second; nothing when the target names no limit.
   std::optional<double> named_limit_;
--- a/decisions/target_scheduler_test.cc
+++ b/decisions/target_scheduler_test.cc
@@ -332,6 +332,44 @@
   }
 }
 
+// Guards against callers that are refused as by an overloaded service while a
+// busy warm target is asked whether it has turned cold, and against load beyond
+// the cold rate meanwhile.
+TEST(target_scheduler, ATargetThatMayBeColdIsNotReportedAsFull) {
+  service_config settings;
+  settings.max_limit = 100;
+  settings.cold_per_second = 20;
+  time_point now{std::chrono::hours(1)};
+  target_scheduler scheduler(settings, now, {"static"});
+  const auto take = [&](int count) {
+    int taken = 0;
+    for (int i = 0; i < count; ++i) {
+      queued_call call;
+      call.id = {
+          1,
+          static_cast<uint64_t>(ToMilliseconds(now.time_since_epoch())) * 100 +
+              static_cast<uint64_t>(i)};
+      call.deadline = now + seconds(10);
+      CHECK_FALSE(scheduler.Enqueue(call, now).has_value());
+      taken += scheduler.TakeNext(now) ? 1 : 0;
+    }
+    return taken;
+  };
+  scheduler.LimitToColdRate(now);
+  CHECK_EQUAL(1, take(5));
+  CHECK_FALSE(scheduler.IsCold(now));
+  CHECK_TRUE(scheduler.PressurePermille(now) < 1000);
+  scheduler.SetCold(now + seconds(3), now);
+  CHECK_TRUE(scheduler.IsCold(now));
+  CHECK_TRUE(scheduler.PressurePermille(now) >= 1000);
+  now += milliseconds(1);
+  CHECK_EQUAL(0, take(1));
+  scheduler.LimitToColdRate(now);
+  scheduler.SetCold(now, now);
+  now += milliseconds(1);
+  CHECK_EQUAL(5, take(5));
+}
+
 TEST_GROUP(named_limit) {
   static service_config Settings() {
     service_config settings;
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -164,6 +164,7 @@
 }
 
 void executor::SetConfig(std::shared_ptr<const config_view> config) {
+  const uint64_t previous_returns = ZoneReturns();
   config_ = std::move(config);
   for (auto& [address, target] : targets_)
     target.gate->UpdateSettings(GateSettings(target.announcement));
@@ -173,9 +174,12 @@
   for (const std::string& address : addresses) {
     if (!IsInService(targets_.at(address)))
       RefuseQueued(address, reason::kNoTarget);
+    // The zone may have been out of service for a time of which this node has
+    // not heard.
+    if (ZoneReturns() != previous_returns)
+      EndUse(&targets_.at(address));
   }
-  if (on_targets_changed_)
-    on_targets_changed_();
+  OnServiceChange();
 }
 
 bool executor::HandleAnnouncement(const target_announcement& announcement) {
@@ -205,8 +209,17 @@
                        (!knows_departures_ && !target.announced_again);
   if (!inserted && !same_run)
     ReportCrash(&target);
+  if (inserted)
+    target.check = std::make_unique<cold_check>(loop_, target_client_,
+                                                options_.dialect, counters_);
+  if (!same_run)
+    target.cold = cold_state();
+  // An announcement after missing ones may be late like them.
+  if (restarted || IsOverdue(target, now))
+    EndUse(&target);
   target.announcement = announcement;
   target.announced_at = now;
+  target.known_at = now;
   target.down = false;
   target.announced_again = !inserted && same_run;
   const service_config settings = GateSettings(announcement);
@@ -216,10 +229,13 @@
   else if (restarted)
     target.gate->ResetCold(now);
   target.gate->UpdateSettings(settings);
-  target.gate->SetCold(now + announcement.cold_remaining, now);
+  target.cold.OnAnnouncement(announcement.cold_remaining, now);
+  LimitCold(&target);
   UpdateStatus(&target, "announcement");
-  if (!changed)
+  if (!changed) {
+    UpdateUse(&target);
     return true;
+  }
   if (announcement.state == fbs::member_state::kDraining)
     RecordDeparture({RunOf(announcement), announcement.sequence, false});
   LogStateChange(
@@ -233,8 +249,7 @@
        {"state", std::string(ToText(announcement.state))}});
   if (!IsInService(target))
     RefuseQueued(announcement.address, reason::kNoTarget);
-  if (on_targets_changed_)
-    on_targets_changed_();
+  OnServiceChange();
   return true;
 }
 
@@ -251,8 +266,7 @@
                     {"address", address},
                     {"id", id}});
     RefuseQueued(address, reason::kNoTarget);
-    if (on_targets_changed_)
-      on_targets_changed_();
+    OnServiceChange();
     return true;
   }
   // Its announcements may still arrive at this process, which may be new.
@@ -278,16 +292,14 @@
   departure_reports_timer_ =
       loop_->RunAfter(departure_reports_until_ - now, [this] {
         departure_reports_timer_ = 0;
-        if (on_targets_changed_)
-          on_targets_changed_();
+        OnServiceChange();
       });
 }
 
 void executor::SetDepartures(const std::vector<target_departure>& departures) {
   knows_departures_ = true;
   AddDepartures(departures);
-  if (on_targets_changed_)
-    on_targets_changed_();
+  OnServiceChange();
 }
 
 bool executor::AddDepartures(const std::vector<target_departure>& departures) {
@@ -308,8 +320,7 @@
         {{"service", last.service}, {"address", address}, {"id", last.id}});
     RefuseQueued(address, reason::kNoTarget);
   }
-  if (on_targets_changed_)
-    on_targets_changed_();
+  OnServiceChange();
   return true;
 }
 
@@ -332,6 +343,93 @@
               target.announcement.address) == 0);
 }
 
+bool executor::IsZoneOut() const {
+  return config_->out_of_service_zones.count(options_.zone) > 0;
+}
+
+uint64_t executor::ZoneReturns() const {
+  const auto found = config_->zone_returns.find(options_.zone);
+  return found == config_->zone_returns.end() ? 0 : found->second;
+}
+
+// Whether announcements are missing: the target may have restarted, or this
+// process may have been paused.
+bool executor::IsOverdue(const local_target& target, time_point now) const {
+  return target.known_at + options_.announcement_timeout / 2 < now;
+}
+
+void executor::OnServiceChange() {
+  for (auto& [address, target] : targets_)
+    UpdateUse(&target);
+  if (on_targets_changed_)
+    on_targets_changed_();
+}
+
+// A target that got no calls may have turned cold since its last announcement.
+void executor::UpdateUse(local_target* target) {
+  const bool in_use = IsInService(*target) && !IsZoneOut() &&
+                      config_->services.count(target->announcement.service) > 0;
+  if (in_use == target->in_use)
+    return;
+  if (in_use) {
+    target->in_use = true;
+    SuspectCold(target);
+  } else {
+    EndUse(target);
+  }
+}
+
+void executor::EndUse(local_target* target) {
+  target->in_use = false;
+  target->check->Stop();
+}
+
+// Limits the target to its cold rate until it has told whether it is cold.
+void executor::SuspectCold(local_target* target) {
+  const time_point now = loop_->Now();
+  target->known_at = now;
+  const auto service = config_->services.find(target->announcement.service);
+  if (service == config_->services.end() ||
+      service->second.cold_per_second <= 0 ||
+      service->second.health_path.empty())
+    return;
+  const std::string& address = target->announcement.address;
+  target->cold.Suspect();
+  LimitCold(target);
+  target->check->Start(
+      address, target->announcement.id, service->second.health_path,
+      [this, address](time_point asked_at, duration cold_remaining) {
+        OnHealth(address, asked_at, cold_remaining);
+      });
+}
+
+// Applies what is known about the cold state of the target.
+void executor::LimitCold(local_target* target) {
+  const time_point now = loop_->Now();
+  if (target->cold.is_suspected()) {
+    target->gate->LimitToColdRate(now);
+    return;
+  }
+  target->check->Stop();
+  target->gate->SetCold(target->cold.cold_until(), now);
+}
+
+void executor::OnHealth(const std::string& address,
+                        time_point asked_at,
+                        duration cold_remaining) {
+  const time_point now = loop_->Now();
+  local_target& target = targets_.at(address);
+  target.known_at = now;
+  target.cold.OnHealth(asked_at, cold_remaining, now);
+  LimitCold(&target);
+  LogStateChange("executor", "target_checked",
+                 {{"address", address},
+                  {"id", target.announcement.id},
+                  {"cold_ms", std::to_string(ToMilliseconds(cold_remaining))},
+                  {"took_ms", std::to_string(ToMilliseconds(now - asked_at))}});
+  DispatchQueued(address);
+}
+
 void executor::HandleTargetReport(const fbs::target_reportT& report) {
   target_status status;
   if (std::isfinite(report.max_calls_per_second) &&
@@ -362,8 +460,7 @@
   target->gate->SetNamedLimit(status.max_calls_per_second, loop_->Now());
   if (status.leaving != previous.leaving) {
     RefuseQueued(target->announcement.address, reason::kNoTarget);
-    if (on_targets_changed_)
-      on_targets_changed_();
+    OnServiceChange();
   }
 }
 
@@ -445,8 +542,8 @@
       targets_.erase(address);
     }
   }
-  if (!expired.empty() && on_targets_changed_)
-    on_targets_changed_();
+  if (!expired.empty())
+    OnServiceChange();
   target_expiry_timer_ =
       loop_->RunAfter(std::chrono::seconds(1), [this] { ExpireTargets(); });
 }
@@ -460,8 +557,7 @@
       "executor", "target_down",
       {{"service", target.announcement.service}, {"address", address}});
   RefuseQueued(address, reason::kNoTarget);
-  if (on_targets_changed_)
-    on_targets_changed_();
+  OnServiceChange();
 }
 
 void executor::RefuseQueued(const std::string& address, reason why) {
@@ -473,7 +569,7 @@
 // before the call is sent to the target.
 std::optional<reason> executor::CheckBeforeRun(const fbs::call_requestT& call,
                                                time_point /*now*/) const {
-  if (config_->out_of_service_zones.count(options_.zone) > 0)
+  if (IsZoneOut())
     return reason::kZoneOut;
   if (call.key_id.empty())
     return std::nullopt;
@@ -608,6 +704,8 @@
   if (found == targets_.end())
     return;
   local_target& target = found->second;
+  if (target.in_use && IsOverdue(target, now))
+    SuspectCold(&target);
   while (!target.reserved_for && IsInService(target)) {
     const auto next = target.gate->TakeNext(now);
     if (!next)
@@ -760,6 +858,10 @@
     if (result.error == target_error::kConnectRefused ||
         outcome == run_outcome::kWrongTarget)
       MarkDown(address);
+    // All connections end with the process, so it may have restarted.
+    else if (result.error == target_error::kConnectionLost &&
+             target->second.in_use && target->second.gate->running() == 0)
+      SuspectCold(&target->second);
     if (result.error == target_error::kNone &&
         outcome != run_outcome::kWrongTarget)
       RecordStatus(&target->second, execution, result.response);
--- a/node/request_dialect.h
+++ b/node/request_dialect.h
@@ -43,6 +43,14 @@
   duration time_left = duration::zero();
 };
 
+// What a target's response to a health check says.
+struct target_health {
+  // Id of the target that answered.
+  std::string target_id;
+  // How long it stays cold from its answer on.
+  duration cold_remaining = duration::zero();
+};
+
 // What the response of a target says about the execution of the request.
 enum class run_outcome {
   kRan,
@@ -87,6 +95,14 @@
     return {};
   }
 
+  // Returns nothing if the response is not that of a target that tells its
+  // health.
+  virtual std::optional<target_health> ReadHealth(
+      const http_response& response) const {
+    static_cast<void>(response);
+    return std::nullopt;
+  }
+
   // Removes header fields that a caller must not see and adds those that tell
   // it about the result of its request.
   virtual void FinishResponse(const request_id& id,
--- a/node/store_config_follower.cc
+++ b/node/store_config_follower.cc
@@ -256,7 +256,7 @@
   }
   const uint64_t previous_offset = applied_offset_;
   const bool was_complete = is_complete_;
-  Apply(batch, full_read ? "store_newest" : "store");
+  Apply(batch, full_read ? "store_newest" : "store", full_read);
   if (IsReader() && (applied_offset_ > previous_offset || !was_complete) &&
       new_records_callback_)
     new_records_callback_();
@@ -307,10 +307,16 @@
 }
 
 void store_config_follower::Apply(const keyed_batch& batch,
-                                  const char* source) {
+                                  const char* source,
+                                  bool full_read) {
   bool changed = false;
   for (const keyed_record& record : batch.records)
     changed = ApplyRecord({record, store_->current()}, source) || changed;
+  // It does not show zones that were out of service for a while before it.
+  if (full_read && ready()) {
+    ++zone_returns_[own_zone_];
+    changed = true;
+  }
   applied_offset_ = std::max(applied_offset_, batch.end_offset);
   is_complete_ = true;
   if (changed)
@@ -427,7 +433,11 @@
                       {"offset", std::to_string(record.offset)},
                       {"source", source}});
     }
-    return changed;
+    // The zone was out of service before this record, also if this node missed
+    // the record that said so.
+    if (!zone->out_of_service)
+      ++zone_returns_[zone->zone];
+    return changed || !zone->out_of_service;
   }
   if (const auto* rollout = std::get_if<rollout_record>(&*read)) {
     if (rollout_callback_)
@@ -458,6 +468,7 @@
   auto built = std::make_shared<config_view>(operator_config_);
   built->offset = version_;
   built->out_of_service_zones = zones_out_;
+  built->zone_returns = zone_returns_;
   view_ = std::move(built);
   version_gauge_.Set(static_cast<double>(version_));
   if (change_callback_)
@@ -550,7 +561,7 @@
   for (era_record& each : records)
     batch.records.push_back(std::move(each.record));
   const uint64_t previous_offset = applied_offset_;
-  Apply(batch, "peer");
+  Apply(batch, "peer", false);
   if (from.zone != own_zone_ && applied_offset_ > previous_offset &&
       new_records_callback_)
     new_records_callback_();
--- a/node/store_config_follower.h
+++ b/node/store_config_follower.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -145,7 +146,8 @@
   int64_t StoreAgeMs() const;
   // Applies the records of the present era before `batch.end_offset`, after
   // which all of them are known.
-  void Apply(const keyed_batch& batch, const char* source);
+  // `full_read`: the batch has only the newest record of each key.
+  void Apply(const keyed_batch& batch, const char* source, bool full_read);
   // These return whether the record changed the configuration.
   bool ApplyRecord(const era_record& record, const char* source);
   bool TakeEffect(const era_record& record, const char* source);
@@ -177,6 +179,8 @@
   era_record config_record_;
   config_view operator_config_;
   std::set<std::string> zones_out_;
+  // See config_view.
+  std::map<std::string, uint64_t> zone_returns_;
   std::shared_ptr<const config_view> view_ =
       std::make_shared<const config_view>();
   bool store_available_ = true;
--- a/testing/fake_targets.cc
+++ b/testing/fake_targets.cc
@@ -55,7 +55,32 @@
   MarkCold(targets_.at(address));
 }
 
-void fake_targets::Crash(const std::string& address) {
+void fake_targets::TurnCold(const std::string& address, duration cold_time) {
+  targets_.at(address).cold_until = loop_.Now() + cold_time;
+}
+
+void fake_targets::SpoilHealth(const std::string& address, bool spoiled) {
+  targets_.at(address).health_spoiled = spoiled;
+}
+
+int fake_targets::HealthChecks(const std::string& address) const {
+  return targets_.at(address).health_checks;
+}
+
+target_result fake_targets::HealthResponse(const target_state& target) const {
+  target_result result = Response(200);
+  if (target.health_spoiled)
+    return result;
+  const duration cold_time =
+      std::max(duration::zero(), target.cold_until - loop_.Now());
+  result.response.headers.Add("X-Instance-Id", target.options.id);
+  result.response.headers.Add("X-Cold-Remaining-Ms",
+                              std::to_string(ToMilliseconds(cold_time)));
+  return result;
+}
+
+void fake_targets::Crash(const std::string& address,
+                         std::optional<duration> restart_time) {
   target_state& target = targets_.at(address);
   target.is_up = false;
   ++target.counters.crashes;
@@ -75,8 +100,8 @@
     Deliver(id, lost);
   }
   loop_.Cancel(target.restart_timer);
-  target.restart_timer =
-      loop_.RunAfter(target.options.restart_time, [this, &target] {
+  target.restart_timer = loop_.RunAfter(
+      restart_time.value_or(target.options.restart_time), [this, &target] {
         target.is_up = true;
         MarkCold(target);
         // Nodes can tell from the refused connections that the target
@@ -155,6 +180,11 @@
   }
   target_state& target = found->second;
   call.target = &target;
+  if (request.path == "/health" && !target.options.id.empty()) {
+    ++target.health_checks;
+    Deliver(id, HealthResponse(target));
+    return id;
+  }
   if (request.path == "/health") {
     const bool healthy =
         target.options.health == fake_health::kAccurate
--- a/testing/fake_targets.h
+++ b/testing/fake_targets.h
@@ -42,6 +42,9 @@
   std::string crash_marker = "crash-this-target";
   // What GET /health reports. The check uses no slot.
   fake_health health = fake_health::kAccurate;
+  // If set, GET /health is answered with this id and the time that the target
+  // stays cold, which TurnCold sets.
+  std::string id;
   // Whether the target stops calls whose caller has gone and calls that exceed
   // their Skylark-Deadline-Ms.
   bool accepts_cancellation = true;
@@ -122,6 +125,13 @@
   void Shed(const std::string& address, duration length);
   // Makes the target cold without an error that nodes could notice.
   void TurnCold(const std::string& address);
+  // The same for a fixed time, whatever it runs.
+  void TurnCold(const std::string& address, duration cold_time);
+  // Answers later health checks with bytes that are no answer, or with
+  // nothing.
+  void SpoilHealth(const std::string& address, bool spoiled);
+  // Number of health checks that the target got.
+  int HealthChecks(const std::string& address) const;
   // Adds a header field to all later responses of the target, or removes it
   // when `value` is empty.
   void SetResponseField(const std::string& address,
@@ -132,8 +142,9 @@
   void ReplaceResponses(const std::string& address,
                         std::optional<http_response> response);
   // Breaks the connections of all calls; the target is back, cold, after its
-  // restart time.
-  void Crash(const std::string& address);
+  // restart time, or after `restart_time`.
+  void Crash(const std::string& address,
+             std::optional<duration> restart_time = std::nullopt);
   // Refuses connections for good, unless a later Crash restarts the target;
   // calls in progress go on.
   void RefuseConnections(const std::string& address);
@@ -161,6 +172,10 @@
     bool is_cold = false;
     bool cold_detectable = false;
     time_point cold_since;
+    // Set by TurnCold with a fixed time.
+    time_point cold_until;
+    bool health_spoiled = false;
+    int health_checks = 0;
     int cold_successes = 0;
     double slow_factor = 1.0;
     time_point slow_until;
@@ -191,6 +206,7 @@
   // Whether the target is up and does not shed.
   bool Accepts(const target_state& target) const;
   duration ServiceTime(target_state& target);
+  target_result HealthResponse(const target_state& target) const;
   // Passes the result to the caller in the next round of the loop, without
   // running the call further.
   void Deliver(target_call_id id, const target_result& result);
--- a/testing/hosted_fleet.cc
+++ b/testing/hosted_fleet.cc
@@ -1,5 +1,6 @@
 #include "testing/hosted_fleet.h"
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -34,9 +35,11 @@
   return route;
 }
 
-service_config Service(const std::string& name) {
+service_config Service(const std::string& name,
+                       const std::string& health_path) {
   service_config service;
   service.name = name;
+  service.health_path = health_path;
   service.cold_per_second = 20;
   return service;
 }
@@ -75,7 +78,7 @@
   for (std::string key; text >> key;)
     view.external_keys[key] = "acme";
   for (const char* service : {"front", "deep"})
-    view.services[service] = Service(service);
+    view.services[service] = Service(service, health_path_);
   view.routes["safe"] = Route("safe", "front");
   view.routes["once"] = Route("once", "front");
   view.routes["inner"] = Route("inner", "deep");
@@ -94,6 +97,7 @@
     fake_target_options options;
     options.starts_cold = false;
     options.service_time = std::chrono::milliseconds(10);
+    options.id = "t" + std::to_string(i);
     targets_.Add(target_address(i), options);
     target_announcement& announcement = machines_[i].announcement;
     announcement.service = i % 2 == 0 ? "front" : "deep";
@@ -161,6 +165,8 @@
 void hosted_fleet::AnnounceAll() {
   for (machine_state& machine : machines_) {
     ++machine.announcement.sequence;
+    machine.announcement.cold_remaining =
+        std::max(duration::zero(), machine.cold_until - loop_.Now());
     if (machine.process != nullptr && machine.announcing)
       machine.process->HandleAnnouncement(machine.announcement);
   }
@@ -186,9 +192,15 @@
   ++machine.announcement.generation;
   machine.announcement.sequence = 1;
   machine.announcement.cold_remaining = cold_time;
+  machine.cold_until = loop_.Now() + cold_time;
   machine.process->HandleAnnouncement(machine.announcement);
 }
 
+void hosted_fleet::TurnCold(size_t index, duration cold_time) {
+  machines_[index].cold_until = loop_.Now() + cold_time;
+  targets_.TurnCold(target_address(index), cold_time);
+}
+
 std::shared_ptr<hosted_fleet::pending_response> hosted_fleet::Send(
     size_t index,
     const std::string& path,
--- a/testing/hosted_fleet.h
+++ b/testing/hosted_fleet.h
@@ -28,6 +28,12 @@
  public:
   tl::expected<operator_record, findings> Read(
       const keyed_record& record) const override;
+
+  // Path of the health checks of the targets; empty if they have none.
+  void SetHealthPath(const std::string& path) { health_path_ = path; }
+
+ private:
+  std::string health_path_;
 };
 
 // Real hosted nodes on a manual loop, with in-memory network and store and fake
@@ -40,6 +46,9 @@
                const request_dialect* dialect = &SkylarkDialect());
   ~hosted_fleet();
 
+  // Configurations that are published from now on have health checks, which
+  // are told by the dialect of the platform.
+  void EnableHealthChecks() { record_reader_.SetHealthPath("/health"); }
   void Publish(const std::string& value) {
     store_.Write(store_topic::kOperators, "config", value);
   }
@@ -76,6 +85,9 @@
   // Announces a restarted target that is cold for `cold_time`.
   void RestartTarget(size_t index, duration cold_time);
   void StopAnnouncing(size_t index) { machines_[index].announcing = false; }
+  // The target turns cold for `cold_time`. Its next regular announcement says
+  // so.
+  void TurnCold(size_t index, duration cold_time);
 
   hosted_node& node(size_t index) { return *machines_[index].process; }
   metrics& counters(size_t index) { return *machines_[index].counters; }
@@ -94,6 +106,7 @@
   struct machine_state {
     target_announcement announcement;
     bool announcing = true;
+    time_point cold_until;
     std::unique_ptr<keyed_store> store_client;
     std::unique_ptr<node_loop> timers;
     std::unique_ptr<metrics> counters;
