Move what keeps a cold target to its rate into a class of its own

cold_guard has the state, the health check and the limit of one target; the executor says when the target may have turned cold. A record that a zone is in service, read before the first configuration, no longer publishes a view without one (found by reading).

--- a/decisions/config_view.h
+++ b/decisions/config_view.h
@@ -118,7 +118,7 @@
   // Zones that operators took out of service.
   std::set<std::string> out_of_service_zones;
   // For each zone, a number that grows when the zone may have been put back
-  // into service.
+  // into service. Returns of other zones than the node's own may be missing.
   std::map<std::string, uint64_t> zone_returns;
 
   // Returns the route with the longest matching path prefix among those that
--- a/node/executor.cc
+++ b/node/executor.cc
@@ -209,28 +209,28 @@
                        (!knows_departures_ && !target.announced_again);
   if (!inserted && !same_run)
     ReportCrash(&target);
-  if (inserted)
-    target.check = std::make_unique<cold_check>(loop_, target_client_,
-                                                options_.dialect, counters_);
-  if (!same_run)
-    target.cold = cold_state();
   // An announcement after missing ones may be late like them.
-  if (restarted || IsOverdue(target, now))
+  if (!inserted && (restarted || IsOverdue(target, now)))
     EndUse(&target);
   target.announcement = announcement;
   target.announced_at = now;
-  target.known_at = now;
   target.down = false;
   target.announced_again = !inserted && same_run;
   const service_config settings = GateSettings(announcement);
-  if (inserted)
+  if (inserted) {
     target.gate =
         std::make_unique<target_scheduler>(settings, now, options_.plugins);
-  else if (restarted)
+    target.cold = std::make_unique<cold_guard>(
+        loop_, target_client_, options_.dialect, counters_,
+        announcement.address, target.gate.get(),
+        [this, address = announcement.address] { DispatchQueued(address); });
+  } else if (restarted) {
     target.gate->ResetCold(now);
+  }
   target.gate->UpdateSettings(settings);
-  target.cold.OnAnnouncement(announcement.cold_remaining, now);
-  LimitCold(&target);
+  if (!same_run)
+    target.cold->OnNewRun(announcement.id);
+  target.cold->OnAnnouncement(announcement.cold_remaining);
   UpdateStatus(&target, "announcement");
   if (!changed) {
     UpdateUse(&target);
@@ -355,7 +355,7 @@
 // Whether announcements are missing: the target may have restarted, or this
 // process may have been paused.
 bool executor::IsOverdue(const local_target& target, time_point now) const {
-  return target.known_at + options_.announcement_timeout / 2 < now;
+  return target.cold->known_at() + options_.announcement_timeout / 2 < now;
 }
 
 void executor::OnServiceChange() {
@@ -381,53 +381,17 @@
 
 void executor::EndUse(local_target* target) {
   target->in_use = false;
-  target->check->Stop();
+  target->cold->StopAsking();
 }
 
-// Limits the target to its cold rate until it has told whether it is cold.
+// Limits the target to its cold rate until it has told whether it is cold, if
+// it can be asked.
 void executor::SuspectCold(local_target* target) {
-  const time_point now = loop_->Now();
-  target->known_at = now;
   const auto service = config_->services.find(target->announcement.service);
-  if (service == config_->services.end() ||
-      service->second.cold_per_second <= 0 ||
-      service->second.health_path.empty())
-    return;
-  const std::string& address = target->announcement.address;
-  target->cold.Suspect();
-  LimitCold(target);
-  target->check->Start(
-      address, target->announcement.id, service->second.health_path,
-      [this, address](time_point asked_at, duration cold_remaining) {
-        OnHealth(address, asked_at, cold_remaining);
-      });
-}
-
-// Applies what is known about the cold state of the target.
-void executor::LimitCold(local_target* target) {
-  const time_point now = loop_->Now();
-  if (target->cold.is_suspected()) {
-    target->gate->LimitToColdRate(now);
-    return;
-  }
-  target->check->Stop();
-  target->gate->SetCold(target->cold.cold_until(), now);
-}
-
-void executor::OnHealth(const std::string& address,
-                        time_point asked_at,
-                        duration cold_remaining) {
-  const time_point now = loop_->Now();
-  local_target& target = targets_.at(address);
-  target.known_at = now;
-  target.cold.OnHealth(asked_at, cold_remaining, now);
-  LimitCold(&target);
-  LogStateChange("executor", "target_checked",
-                 {{"address", address},
-                  {"id", target.announcement.id},
-                  {"cold_ms", std::to_string(ToMilliseconds(cold_remaining))},
-                  {"took_ms", std::to_string(ToMilliseconds(now - asked_at))}});
-  DispatchQueued(address);
+  if (service != config_->services.end() &&
+      service->second.cold_per_second > 0 &&
+      !service->second.health_path.empty())
+    target->cold->Suspect(service->second.health_path);
 }
 
 void executor::HandleTargetReport(const fbs::target_reportT& report) {
--- a/node/executor.h
+++ b/node/executor.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "decisions/answer_cache.h"
-#include "decisions/cold_state.h"
 #include "decisions/config_view.h"
 #include "decisions/context_tokens.h"
 #include "decisions/crash_detector.h"
@@ -22,7 +21,7 @@
 #include "kernel/loop.h"
 #include "kernel/random.h"
 #include "node/call_types.h"
-#include "node/cold_check.h"
+#include "node/cold_guard.h"
 #include "node/entry.h"
 #include "node/request_dialect.h"
 #include "wire/peer_transport.h"
@@ -216,11 +215,8 @@
     std::unique_ptr<target_scheduler> gate;
     // Copied from `target_statuses_`.
     target_status status;
-    cold_state cold;
-    std::unique_ptr<cold_check> check;
-    // When this node last heard how long the target stays cold, or asked.
-    time_point known_at;
-    // In service, in a zone that is in service, with a known configuration.
+    std::unique_ptr<cold_guard> cold;
+    // May get calls: in service, in a zone in service, of a configured service.
     bool in_use = false;
     // Set when connections were refused since the last announcement or another
     // target uses the address.
@@ -275,10 +271,6 @@
   void UpdateUse(local_target* target);
   void EndUse(local_target* target);
   void SuspectCold(local_target* target);
-  void LimitCold(local_target* target);
-  void OnHealth(const std::string& address,
-                time_point asked_at,
-                duration cold_remaining);
   void RecordDeparture(const target_departure& departure);
   // Records what another node remembers of a local target.
   void HandleTargetReport(const fbs::target_reportT& report);
--- a/node/store_config_follower.cc
+++ b/node/store_config_follower.cc
@@ -437,7 +437,7 @@
     // the record that said so.
     if (!zone->out_of_service)
       ++zone_returns_[zone->zone];
-    return changed || !zone->out_of_service;
+    return changed || (!zone->out_of_service && ready());
   }
   if (const auto* rollout = std::get_if<rollout_record>(&*read)) {
     if (rollout_callback_)
