Soak: let workers send bytes that are no response, and answer health checks

Half of the faults in which a worker drops its responses now spoil them: the worker runs the request and sends a bare 200 with other bytes. A response of a node that belongs to no request is a violation now; before, the client of the soak counted it as a lost one. Workers answer health checks, so that nodes send them, and copy the id of a request that they refuse, as real ones do.

--- a/testing/soak.cc
+++ b/testing/soak.cc
@@ -161,7 +161,9 @@
         {"version", "r" + std::to_string(++config_version_)},
         {"resources",
          {route("/safe/", "safe"), route("/once/", "unsafe"),
-          MakeResource("services", "shop", {{"coldPerS", 50}}),
+          MakeResource(
+              "services", "shop",
+              {{"coldPerS", 50}, {"healthPath", soak_worker::kHealthPath}}),
           MakeResource("tenants", "t1", {{"apiKeys", keys}}),
           MakeResource("tenants", "t2", {{"apiKeys", {"k2"}}})}}};
     // A restore loses this configuration.
@@ -329,7 +331,7 @@
         (random_.Below(2) == 0 ? node.store_proxy : node.worker_proxy)->Reset();
         return;
       case 9:
-        DropWorkerResponses(index, length);
+        HarmWorkerResponses(index, length);
         return;
       case 10:
         InjectStoreFault(length);
@@ -452,12 +454,18 @@
     });
   }
 
-  void DropWorkerResponses(size_t index, duration length) {
+  // Half of the faults, by their length, drop the responses and the others
+  // spoil them.
+  void HarmWorkerResponses(size_t index, duration length) {
     RecordFault(&nodes_[index]);
-    nodes_[index].worker->DropResponses(true);
+    if (length.count() % 2 == 0)
+      nodes_[index].worker->DropResponses(true);
+    else
+      nodes_[index].worker->SpoilResponses(true);
     loop_.RunAfter(length, [this, index] {
       RecordFault(&nodes_[index]);
       nodes_[index].worker->DropResponses(false);
+      nodes_[index].worker->SpoilResponses(false);
     });
   }
 
@@ -513,6 +521,7 @@
       node.store_proxy->Reset();
       node.worker_proxy->Reset();
       node.worker->DropResponses(false);
+      node.worker->SpoilResponses(false);
       RestartWorker(&node);
       if (node.paused && node.pid > 0)
         kill(node.pid, SIGCONT);
@@ -560,6 +569,9 @@
     ended.ended_at = loop_.Now();
     ended.outcome = request_outcome::kUnknown;
     if (result.error != target_error::kNone) {
+      // For example a response without the id of the request.
+      if (result.error == target_error::kMalformed)
+        AddViolation(id + ": the response belongs to no request");
       CheckPlannedStop(id, ended, result);
       return;
     }
--- a/testing/soak_worker.cc
+++ b/testing/soak_worker.cc
@@ -136,14 +136,28 @@
       loop_->RunAfter(settings_.report_interval, [this] { SendReport(); });
 }
 
+http_response soak_worker::MakeHealth() const {
+  http_response response;
+  response.status = 200;
+  response.headers.Add("X-Instance-Id", settings_.id);
+  response.headers.Add("X-Cold-Remaining-Ms", "0");
+  return response;
+}
+
 void soak_worker::Handle(const http_request& request,
                          const std::shared_ptr<http_exchange>& exchange) {
+  if (request.path == kHealthPath) {
+    exchange->Respond(MakeHealth());
+    return;
+  }
   const std::string* id = request.headers.Find("X-Request-Id");
   const std::string* target_id = request.headers.Find("X-Target-Instance");
   http_response response;
   if (id == nullptr || target_id == nullptr || *target_id != settings_.id) {
     response.status = id == nullptr ? 400 : kStatusMisdirectedRequest;
     response.headers.Add("X-Not-Executed", "1");
+    if (id != nullptr)
+      response.headers.Add("X-Request-Id", *id);
     exchange->Respond(response);
     return;
   }
@@ -167,10 +181,13 @@
                              exchange, response] {
     if (alive.expired())
       return;
+    http_response spoiled;
+    spoiled.status = 200;
+    spoiled.body = "wrong bytes.";
     if (drop_responses_)
       exchange->DropConnection();
     else
-      exchange->Respond(response);
+      exchange->Respond(spoil_responses_ ? spoiled : response);
   });
 }
 
--- a/testing/soak_worker.h
+++ b/testing/soak_worker.h
@@ -54,6 +54,9 @@
   // response.
   void DropResponses(bool drop) { drop_responses_ = drop; }
 
+  // Makes the worker run requests and send bytes that are no response to them.
+  void SpoilResponses(bool spoil) { spoil_responses_ = spoil; }
+
   // Makes the worker run requests and respond that it has not run them.
   void ClaimNotExecuted(bool claim) { claim_not_executed_ = claim; }
 
@@ -69,6 +72,8 @@
   // Becomes a new run of the worker under the same id.
   void Restart();
 
+  static constexpr char kHealthPath[] = "/health";
+
   // Body and X-Response-Signature of the response to the request with this id.
   static std::string BodyFor(const std::string& id);
   static std::string SignatureFor(const std::string& id);
@@ -79,6 +84,7 @@
             const std::string& body,
             std::function<void(bool ok)> done);
   void SendReport();
+  http_response MakeHealth() const;
   void Handle(const http_request& request,
               const std::shared_ptr<http_exchange>& exchange);
 
@@ -95,6 +101,7 @@
   bool leaving_ = false;
   bool deregistered_ = false;
   bool drop_responses_ = false;
+  bool spoil_responses_ = false;
   bool claim_not_executed_ = false;
   timer_id report_timer_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
