Say what ends the use of a target in the executor

The two functions had no comment, and EndUse is also called for a target that stays in service, so that the next UpdateUse asks it again.

--- a/node/executor.h
+++ b/node/executor.h
@@ -268,7 +268,10 @@
   bool IsOverdue(const local_target& target, time_point now) const;
   // To be called when targets may have come into service or left it.
   void OnServiceChange();
+  // Suspects the target to be cold if it comes into use.
   void UpdateUse(local_target* target);
+  // The target gets no calls, or may have got none for a while. The next call
+  // of UpdateUse that finds it in service suspects it to be cold.
   void EndUse(local_target* target);
   void SuspectCold(local_target* target);
   void RecordDeparture(const target_departure& departure);
